--- a/src/bin/cinderledge-drill/frame.rs
+++ b/src/bin/rudderspindle-drill/frame.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read};
 
-use cinderledge::interface::*;
+use rudderspindle::interface::*;
 
 /// What stands wrong in a frame.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/bin/cinderledge-drill/main.rs
+++ b/src/bin/rudderspindle-drill/main.rs
@@ -8,15 +8,15 @@
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
 
-use cinderledge::Sender;
-use cinderledge::interface::*;
 use frame::{Batch, Record, Reply};
+use rudderspindle::Sender;
+use rudderspindle::interface::*;
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("cinderledge-drill: {error}");
+            eprintln!("rudderspindle-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/cinderledge-drill/settings.rs
+++ b/src/bin/rudderspindle-drill/settings.rs
@@ -1,6 +1,6 @@
 //! The wire's start-up settings (JSON) in the interface's terms. No decision.
 
-use cinderledge::interface::*;
+use rudderspindle::interface::*;
 use serde_json::Value;
 
 /// Reads settings; unknown keys are skipped.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! since the last batch and carries out the actions that come back.
 //!
 //! ```
-//! use cinderledge::Sender;
-//! use cinderledge::interface::*;
+//! use rudderspindle::Sender;
+//! use rudderspindle::interface::*;
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let notice = Class {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use cinderledge::Sender;
-use cinderledge::interface::*;
+use rudderspindle::Sender;
+use rudderspindle::interface::*;
 
 pub fn class(effect: Effect) -> Class {
     Class {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,11 +4,11 @@
 
 use std::collections::BTreeMap;
 
-use cinderledge::Sender;
-use cinderledge::interface::*;
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rudderspindle::Sender;
+use rudderspindle::interface::*;
 
 const SAFE: Effect = Effect::Safe;
 const KEYED_ALL: Effect = Effect::Keyed { group: KeyGroup::All, window: 4_000.0 };
--- a/tests/throttle.rs
+++ b/tests/throttle.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 
-use cinderledge::interface::*;
 use common::*;
+use rudderspindle::interface::*;
 
 /// Answers every call `after` ms later with what `answer` says, for `span` ms; returns the calls by route.
 fn play(
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -11,7 +11,7 @@
  "tick": 5.0, "weights": "nominal"}"#;
 
 fn play(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cinderledge-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_rudderspindle-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
