--- a/src/bin/rudderspindle-drill/main.rs
+++ b/src/bin/rudderspindle-drill/main.rs
@@ -2,7 +2,6 @@
 #![forbid(unsafe_code)]
 
 mod frame;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
@@ -11,6 +10,7 @@
 use frame::{Batch, Record, Reply};
 use rudderspindle::Sender;
 use rudderspindle::interface::*;
+use rudderspindle::settings;
 
 fn main() -> ExitCode {
     match run() {
@@ -47,7 +47,7 @@
         for record in batch.records {
             match record {
                 Record::Up { instance, seed, info } => {
-                    let settings = settings::parse(&info)?;
+                    let settings = settings::parse(&info).map_err(|e| e.to_string())?;
                     let sender =
                         Sender::new(settings, seed).map_err(|e| format!("unreadable settings: {e}"))?;
                     self.senders.insert(instance, sender);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -270,7 +270,8 @@
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::List(change) => self.list(change),
-            Event::Message(message) => self.admit(message),
+            Event::Message(message) => self.admit(message, &Past::default()),
+            Event::Recovered(message, past) => self.admit(message, past),
             Event::Started { id, attempt } => {
                 let out = self.messages.get_mut(id).filter(|m| m.out.is_some_and(|out| out.0 == *attempt));
                 out.into_iter().for_each(|m| m.ends_at = f64::INFINITY);
@@ -411,7 +412,7 @@
 // ---- Messages --------------------------------------------------------------------------------------------
 
 impl Sender {
-    fn admit(&mut self, message: &Message) {
+    fn admit(&mut self, message: &Message, past: &Past) {
         if self.messages.contains_key(&message.id) {
             return;
         }
@@ -444,7 +445,9 @@
             self.keys.entry(key).or_default().order.push_back(message.id);
         }
         let destination = message.destination;
-        let held = Held { class, worth, destination, key, aim_at, ends_at, ..Held::default() };
+        let maybe_ran = past.may_have_run.map(|ran| (self.now - ran.ago, ran.route, ran.zone));
+        let past = Held { attempts: past.attempts, maybe_ran, ..Held::default() };
+        let held = Held { class, worth, destination, key, aim_at, ends_at, ..past };
         self.messages.insert(message.id, held);
         self.park(message.id);
     }
@@ -559,6 +562,9 @@
         let to = m.destination;
         let ran = self.settle(to, call, outcome, retry_after);
         let Some(m) = self.messages.get_mut(&id) else { return };
+        if outcome == Outcome::Spent {
+            m.attempts = self.settings.max_attempts;
+        }
         if matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
             m.maybe_ran = m.maybe_ran.or(ran);
             // Its key rests while the attempt may still be running.
@@ -602,7 +608,7 @@
                 d.routes[route].out -= 1;
                 self.calls_out -= 1;
             }
-            if first && !matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
+            if first && !matches!(outcome, Outcome::Moot | Outcome::Spent | Outcome::Cancelled) {
                 if outcome == Outcome::Ok && (limited || !d.waiting.is_empty()) {
                     let gate = d.gate_mut(route);
                     gate.pace = (gate.pace + PACE_GAIN * self.rough() * gate.told).min(gate.told);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -300,6 +300,26 @@
     pub destination: DestinationId,
 }
 
+/// What happened to a message before the sender came up, as its host has it on record.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Past {
+    /// Attempts used. None of them is out any more.
+    pub attempts: u32,
+    /// The first attempt that may have taken effect.
+    pub may_have_run: Option<PastRun>,
+}
+
+/// An attempt of the past that may have taken effect.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PastRun {
+    /// How long ago it was sent.
+    pub ago: Millis,
+    /// By which route; it may have left the list since.
+    pub route: RouteId,
+    /// The route's zone.
+    pub zone: u8,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -319,6 +339,8 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// Never sent: the message has had all its attempts. Its end is still owed.
+    Spent,
 }
 
 /// What a sender is told.
@@ -328,6 +350,8 @@
     List(ListChange),
     /// A message is handed in.
     Message(Message),
+    /// A message taken on before a restart is still owed its end.
+    Recovered(Message, Past),
     /// A streamed answer has begun; the attempt belongs to the client from here.
     Started {
         /// The message.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,5 +84,6 @@
 
 mod decide;
 pub mod interface;
+pub mod settings;
 
 pub use decide::Sender;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,153 @@
+//! One real sender: reads its configuration, wires the parts together and heeds signals.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rudderspindle::interface::{Settings, SettingsError};
+use rudderspindle::settings::{self, Names, ReadError};
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use net::discovery::{self, List};
+use net::host::{Host, Input, Parts};
+use net::inbound::Inbound;
+use net::outbound::Outbound;
+use net::reports::Reports;
+use net::store::Store;
+
+/// Inputs that may wait for the host.
+const QUEUE: usize = 4096;
+/// Descriptors that are neither clients' nor receivers': files, the listener, discovery, the runtime's.
+const OTHER_SOCKETS: usize = 40;
+/// What was answered last still has to reach the sockets when the host is done.
+const LAST_WRITES: Duration = Duration::from_millis(20);
+
+#[derive(Debug, Deserialize)]
+struct Config {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+#[derive(Debug, Deserialize)]
+struct Limits {
+    sockets: usize,
+    disk_mb: f64,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum StartError {
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    #[error("{path}: {error}")]
+    Unreadable { path: PathBuf, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Malformed { path: PathBuf, error: serde_json::Error },
+    #[error("limits.sockets: {0} are too few")]
+    FewSockets(usize),
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    #[error("{0}")]
+    Read(#[from] ReadError),
+    #[error("settings name {names} classes of message and tell of {classes}")]
+    Names { names: usize, classes: usize },
+    #[error("the journal in {path} cannot be used: {error}")]
+    Journal { path: PathBuf, error: std::io::Error },
+    #[error("cannot listen on {addr}: {error}")]
+    Listen { addr: SocketAddr, error: std::io::Error },
+    #[error("{0}")]
+    Runtime(#[from] std::io::Error),
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rudderspindle: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), StartError> {
+    let variable = |name| std::env::var_os(name).map(PathBuf::from).ok_or(StartError::Unset(name));
+    let (path, state) = (variable("RELAY_CONFIG")?, variable("RELAY_STATE")?);
+    let text = std::fs::read(&path).map_err(|error| StartError::Unreadable { path: path.clone(), error })?;
+    let config: Config =
+        serde_json::from_slice(&text).map_err(|error| StartError::Malformed { path, error })?;
+    let settings = settings::read(&config.settings)?;
+    let names = settings::names(&config.settings)?;
+    settings.validate()?;
+    if names.classes.len() != settings.classes.len() {
+        let (names, classes) = (names.classes.len(), settings.classes.len());
+        return Err(StartError::Names { names, classes });
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(config, settings, names, &state))
+}
+
+async fn run(config: Config, settings: Settings, names: Names, state: &Path) -> Result<(), StartError> {
+    let sockets = config.limits.sockets;
+    let share = sockets.saturating_sub(OTHER_SOCKETS) / 2;
+    if share == 0 {
+        return Err(StartError::FewSockets(sockets));
+    }
+    let mut terminate = signal(SignalKind::terminate())?;
+    let budget = (config.limits.disk_mb.max(0.0) * 1_000_000.0) as u64;
+    let store =
+        Store::open(state, budget).map_err(|error| StartError::Journal { path: state.to_owned(), error })?;
+    let (to_host, inputs) = mpsc::channel(QUEUE);
+    let (stop, stopping) = watch::channel(false);
+    let outbound = Rc::new(Outbound::new(&settings, share, to_host.clone()));
+    let reports = Rc::new(Reports::default());
+    let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_default();
+    let known = config.known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
+    let revision = known.revision;
+    let parts = Parts {
+        settings: settings.clone(),
+        names: names.clone(),
+        seed,
+        store,
+        outbound: outbound.clone(),
+        reports: reports.clone(),
+        inputs,
+    };
+    // What the journal holds is taken up before the first client is heard.
+    let host = Host::new(parts, known)?;
+    let addr = config.listen;
+    let listener = TcpListener::bind(addr).await.map_err(|error| StartError::Listen { addr, error })?;
+    eprintln!("listening on {}", listener.local_addr()?);
+    spawn_local(discovery::watch(config.discovery, revision, to_host.clone()));
+    spawn_local({
+        let to_host = to_host.clone();
+        async move { reports.run(config.discovery, to_host).await }
+    });
+    spawn_local(async move { outbound.sweep().await });
+    let inbound = Rc::new(Inbound::new(settings, names, share, to_host.clone(), stopping));
+    spawn_local(inbound.run(listener));
+    spawn_local(async move {
+        terminate.recv().await;
+        eprintln!("stopping");
+        stop.send_replace(true);
+        let _ = to_host.send(Input::Stop).await;
+        // Clients' connections watch it until the end.
+        std::future::pending::<()>().await;
+        drop(stop);
+    });
+    host.run().await;
+    tokio::time::sleep(LAST_WRITES).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,131 @@
+//! The list of receivers: watches discovery and passes on what changes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use super::host::Input;
+
+/// An empty line comes every 2 s: a watch that says nothing for so long is dead.
+const SILENCE: Duration = Duration::from_secs(5);
+const CONNECT: Duration = Duration::from_secs(1);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// A longer line is no list of ours.
+const LONGEST_LINE: usize = 4 << 20;
+
+/// A list, or the entries of one that have changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    pub revision: u64,
+    /// Whether it is the whole list: what is missing is gone.
+    pub complete: bool,
+    pub members: Vec<Member>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub id: String,
+    #[serde(default)]
+    pub host_port: String,
+    #[serde(default)]
+    pub locality: String,
+    #[serde(default)]
+    pub flavor: String,
+    pub cell: u16,
+    pub phase: String,
+    #[serde(default)]
+    pub size: f64,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("no answer in time")]
+    Silent,
+    #[error("{0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("the watch ended")]
+    Ended,
+    #[error("a line of over {LONGEST_LINE} bytes")]
+    LongLine,
+    #[error("unreadable line: {0}")]
+    Unreadable(#[from] serde_json::Error),
+}
+
+/// Watches for good, from `revision` on.
+pub async fn watch(addr: SocketAddr, mut revision: u64, host: mpsc::Sender<Input>) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let mut heard = false;
+        let Err(error) = session(addr, &mut revision, &mut heard, &host).await else { return };
+        if matches!(error, WatchError::Unreadable(_) | WatchError::LongLine) {
+            // A change was missed: only the whole list mends that.
+            revision = 0;
+        }
+        if heard {
+            pause = FIRST_PAUSE;
+            eprintln!("discovery: {error}; watching again");
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// One connection's watch; ends well only when the host is gone.
+async fn session(
+    addr: SocketAddr,
+    revision: &mut u64,
+    heard: &mut bool,
+    host: &mpsc::Sender<Input>,
+) -> Result<(), WatchError> {
+    let stream = timeout(CONNECT, TcpStream::connect(addr)).await.map_err(|_| WatchError::Silent)??;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // The connection lives as long as this session does.
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn_local(connection);
+    let path = format!("/api/targets?watch=1&from={revision}");
+    let request = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::<Bytes>::new())?;
+    let response = timeout(SILENCE, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+    if response.status() != StatusCode::OK {
+        return Err(WatchError::Status(response.status()));
+    }
+    let mut body = response.into_body();
+    let mut buffer: Vec<u8> = Vec::new();
+    loop {
+        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        let frame = frame.ok_or(WatchError::Ended)??;
+        let Some(data) = frame.data_ref() else { continue };
+        *heard = true;
+        buffer.extend_from_slice(data);
+        while let Some(end) = buffer.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = buffer.drain(..=end).collect();
+            if line.trim_ascii().is_empty() {
+                continue;
+            }
+            let list: List = serde_json::from_slice(&line)?;
+            *revision = list.revision;
+            if host.send(Input::List(list)).await.is_err() {
+                return Ok(());
+            }
+        }
+        if buffer.len() > LONGEST_LINE {
+            return Err(WatchError::LongLine);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/host.rs
@@ -0,0 +1,561 @@
+//! The host of the decisions: gathers what happens into batches, lets the module decide, writes the journal,
+//! and only then answers, reports and sends.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rudderspindle::Sender;
+use rudderspindle::interface::*;
+use rudderspindle::settings::Names;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, sleep_until};
+
+use super::Txn;
+use super::discovery::{List, Member};
+use super::inbound::{Answer, Submission};
+use super::outbound::{Call, Outbound, Report, Route};
+use super::reports::Reports;
+use super::store::{self, Notice, Ran, Status, Store};
+
+/// After SIGTERM, calls start for so long: what starts later may not finish.
+const STOP_SENDING: Duration = Duration::from_millis(2_000);
+/// Clients still come for some time after SIGTERM.
+const STOP_FIRST: Duration = Duration::from_millis(600);
+/// Whatever is out by then stays in the journal as an attempt that may have run.
+const STOP_LAST: Duration = Duration::from_millis(3_300);
+/// How often the host looks whether it can stop.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// Longest time without a batch: nothing is due, so it only bounds the sleep.
+const IDLE: Duration = Duration::from_secs(3600);
+/// Inputs of one batch at most.
+const MOST_INPUTS: usize = 4096;
+
+/// What the rest of the program tells the host.
+#[derive(Debug)]
+pub enum Input {
+    HandedIn(Submission),
+    /// The client of this hand-in has gone before it was answered.
+    Withdrawn(u64),
+    Outcome {
+        id: MessageId,
+        attempt: u32,
+        report: Report,
+    },
+    Probed {
+        route: RouteId,
+        outcome: Outcome,
+    },
+    List(List),
+    /// Notices that the platform has.
+    Settled(Vec<Txn>),
+    /// SIGTERM.
+    Stop,
+}
+
+/// A message that is owed its end.
+#[derive(Debug)]
+struct Held {
+    txn: Txn,
+    /// The last hand-in that it was taken on by.
+    hand_in: u64,
+    key: Option<Bytes>,
+    body: Bytes,
+    ends_at: Instant,
+    attempts: u32,
+}
+
+/// A message that was handed in with this batch.
+struct Fresh {
+    id: MessageId,
+    record: store::Message,
+    answer: oneshot::Sender<Answer>,
+}
+
+pub struct Host {
+    sender: Sender,
+    settings: Settings,
+    names: Names,
+    store: Store,
+    outbound: Rc<Outbound>,
+    reports: Rc<Reports>,
+    inputs: mpsc::Receiver<Input>,
+    origin: Instant,
+    last_batch: Instant,
+    stop: Option<Instant>,
+    held: HashMap<MessageId, Held>,
+    ids: HashMap<Txn, MessageId>,
+    hand_ins: HashMap<u64, MessageId>,
+    next_id: u32,
+    routes: HashMap<Rc<str>, RouteId>,
+    destinations: HashSet<DestinationId>,
+    zones: Vec<String>,
+    calls: HashMap<MessageId, AbortHandle>,
+    wakes: Vec<(Instant, u64)>,
+    /// Inputs and events left for the next batch.
+    deferred: Vec<Input>,
+    carried: Vec<Event>,
+}
+
+/// What a host is made of.
+pub struct Parts {
+    pub settings: Settings,
+    pub names: Names,
+    pub seed: u64,
+    pub store: Store,
+    pub outbound: Rc<Outbound>,
+    pub reports: Rc<Reports>,
+    pub inputs: mpsc::Receiver<Input>,
+}
+
+impl Host {
+    /// A host that has taken in the list as last known and what its journal holds.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] if the settings cannot work.
+    pub fn new(parts: Parts, known: List) -> Result<Self, SettingsError> {
+        let Parts { settings, names, seed, store, outbound, reports, inputs } = parts;
+        let now = Instant::now();
+        let mut host = Self {
+            sender: Sender::new(settings.clone(), seed)?,
+            zones: names.zones.clone(),
+            settings,
+            names,
+            store,
+            outbound,
+            reports,
+            inputs,
+            origin: now,
+            last_batch: now,
+            stop: None,
+            held: HashMap::new(),
+            ids: HashMap::new(),
+            hand_ins: HashMap::new(),
+            next_id: 0,
+            routes: HashMap::new(),
+            destinations: HashSet::new(),
+            calls: HashMap::new(),
+            wakes: Vec::new(),
+            deferred: Vec::new(),
+            carried: Vec::new(),
+        };
+        let entries = host.list(&known);
+        host.carried.push(Event::List(ListChange::Cached(entries)));
+        host.recover(now);
+        host.batch(Vec::new());
+        Ok(host)
+    }
+
+    /// Runs until SIGTERM has been dealt with.
+    pub async fn run(mut self) {
+        loop {
+            let due = self.due();
+            let mut inputs = std::mem::take(&mut self.deferred);
+            if inputs.is_empty() {
+                tokio::select! {
+                    n = self.inputs.recv_many(&mut inputs, MOST_INPUTS) => if n == 0 { return },
+                    () = sleep_until(due) => {}
+                }
+            }
+            let tick = Duration::from_secs_f64(self.settings.tick.max(0.0) / 1_000.0);
+            sleep_until(self.last_batch + tick).await;
+            while inputs.len() < MOST_INPUTS {
+                let Ok(input) = self.inputs.try_recv() else { break };
+                inputs.push(input);
+            }
+            self.batch(inputs);
+            if self.stopped() {
+                return;
+            }
+        }
+    }
+
+    fn due(&self) -> Instant {
+        let now = Instant::now();
+        let next = if self.stop.is_some() { STOP_LOOK } else { IDLE };
+        let next = if self.carried.is_empty() { now + next } else { now };
+        self.wakes.iter().map(|w| w.0).fold(next, Instant::min)
+    }
+
+    /// Whether the program may end: nothing that it could still do is left, or its time is up.
+    fn stopped(&self) -> bool {
+        let Some(since) = self.stop.map(|at| at.elapsed()) else { return false };
+        let idle = self.calls.is_empty() && self.reports.is_idle();
+        let done = idle && (self.held.is_empty() || since >= STOP_SENDING);
+        since >= STOP_LAST || (done && since >= STOP_FIRST)
+    }
+
+    fn batch(&mut self, inputs: Vec<Input>) {
+        let now = Instant::now();
+        self.last_batch = now;
+        let mut events = std::mem::take(&mut self.carried);
+        let mut fresh = Vec::new();
+        let (mut room, mut refused) = (0, Vec::new());
+        for input in inputs {
+            match input {
+                Input::HandedIn(submission) => {
+                    let message = self.admit(submission, now, &mut room, &mut fresh, &mut refused);
+                    events.extend(message.map(Event::Message));
+                }
+                Input::Withdrawn(hand_in) => events.extend(self.withdraw(hand_in)),
+                Input::Outcome { id, attempt, report } => events.push(self.outcome(id, attempt, report)),
+                Input::Probed { route, outcome } => events.push(Event::Probed { route, outcome }),
+                Input::List(list) => {
+                    let entries = self.list(&list);
+                    let change =
+                        if list.complete { ListChange::Full(entries) } else { ListChange::Delta(entries) };
+                    events.push(Event::List(change));
+                }
+                Input::Settled(txns) => txns.iter().for_each(|txn| self.store.settled(txn)),
+                Input::Stop => self.stop = self.stop.or(Some(now)),
+            }
+        }
+        self.wakes.retain(|&(at, token)| {
+            let due = at <= now;
+            if due {
+                events.push(Event::Wake(token));
+            }
+            !due
+        });
+        let mut actions = Vec::new();
+        let clock = (now - self.origin).as_secs_f64() * 1_000.0;
+        self.sender.handle(clock, &events, &mut actions);
+        self.carry_out(now, fresh, refused, actions);
+    }
+
+    /// Records what was decided, and then does it.
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        fresh: Vec<Fresh>,
+        refused: Vec<(oneshot::Sender<Answer>, Answer)>,
+        actions: Vec<Action>,
+    ) {
+        let mut ended: HashMap<MessageId, Status> = HashMap::new();
+        for action in &actions {
+            match *action {
+                Action::Refuse { id, retry_after } => {
+                    let again = (retry_after > 0.0).then_some(retry_after as u64);
+                    ended.insert(id, Status::Deferred(again));
+                }
+                Action::Fail { id } => drop(ended.insert(id, Status::Undeliverable)),
+                _ => {}
+            }
+        }
+        // What is ended with the batch that brought it was never taken on: its client hears it at once.
+        let mut answers = refused;
+        let mut taken = Vec::new();
+        for Fresh { id, record, answer } in fresh {
+            if let Some(status) = ended.remove(&id) {
+                self.release(id);
+                let word = match status {
+                    Status::Undeliverable => Answer::Failed,
+                    Status::Deferred(again) => Answer::Refused(again.unwrap_or(0) as Millis),
+                };
+                answers.push((answer, word));
+            } else {
+                self.store.take(record);
+                taken.push((id, answer));
+            }
+        }
+        let mut notices = Vec::new();
+        for (id, status) in ended {
+            let Some(held) = self.release(id) else { continue };
+            self.store.end(&held.txn, Some(status));
+            notices.push(Notice { txn: held.txn, status });
+        }
+        let mut calls = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { id, route, timeout } => {
+                    calls.extend(self.attempt(now, id, route, timeout));
+                }
+                Action::Wake { delay, token } => {
+                    let delay = Duration::from_secs_f64(delay.max(0.0) / 1_000.0);
+                    self.wakes.push((now + delay, token));
+                }
+                Action::Cancel { id, attempt } => self.cancel(id, attempt),
+                Action::Probe { route } => self.outbound.probe(route),
+                // The watch is always on.
+                Action::Subscribe => {}
+                Action::Refuse { .. } | Action::Fail { .. } => {}
+            }
+        }
+        if let Err(error) = self.store.commit() {
+            eprintln!("journal: a batch could not be written: {error}");
+            for (id, answer) in taken.drain(..) {
+                if let Some(held) = self.release(id) {
+                    self.store.forget(&held.txn);
+                    self.carried.push(Event::Dropped(id));
+                }
+                answers.push((answer, Answer::Refused(0.0)));
+            }
+            // An attempt that is not on record must not go out.
+            for call in calls.drain(..) {
+                let report = Report::from(Outcome::Moot);
+                let event = self.outcome(call.id, call.attempt, report);
+                self.carried.push(event);
+            }
+        }
+        answers.extend(taken.into_iter().map(|(_, answer)| (answer, Answer::Accepted)));
+        for (answer, word) in answers {
+            // If nobody waits for it any more, the connection's end says so.
+            let _ = answer.send(word);
+        }
+        notices.into_iter().for_each(|notice| self.reports.push(notice));
+        for call in calls {
+            let id = call.id;
+            self.calls.insert(id, self.outbound.start(call));
+        }
+    }
+
+    /// A message handed in, unless it is turned away at the door.
+    fn admit(
+        &mut self,
+        submission: Submission,
+        now: Instant,
+        room: &mut u64,
+        fresh: &mut Vec<Fresh>,
+        refused: &mut Vec<(oneshot::Sender<Answer>, Answer)>,
+    ) -> Option<Message> {
+        let Submission { number, txn, class, tenant, destination, key, body, ends_at, answer } = submission;
+        if answer.is_closed() {
+            return None;
+        }
+        if !self.destinations.contains(&destination) {
+            refused.push((answer, Answer::UnknownDestination));
+            return None;
+        }
+        if let Some(&id) = self.ids.get(&txn) {
+            // Handed in twice, taken on once; the later client is the one that waits to hear it.
+            if fresh.iter().any(|f| f.id == id) {
+                refused.push((answer, Answer::Refused(0.0)));
+            } else if let Some(held) = self.held.get_mut(&id) {
+                self.hand_ins.remove(&held.hand_in);
+                held.hand_in = number;
+                self.hand_ins.insert(number, id);
+                refused.push((answer, Answer::Accepted));
+            }
+            return None;
+        }
+        let left = ends_at.saturating_duration_since(now);
+        let record = store::Message {
+            txn: txn.clone(),
+            class: self.names.classes.get(class).map_or("", String::as_str).into(),
+            tenant: self.names.tenants.get(tenant).map_or("", String::as_str).into(),
+            destination: destination.0,
+            key: key.clone(),
+            deadline: store::wall_ms() + left.as_millis() as u64,
+            body: body.clone(),
+            attempts: 0,
+            may_have_run: None,
+            out: None,
+        };
+        let more = record.room();
+        if self.held.len() >= self.settings.most_held || !self.store.has_room(*room + more) {
+            refused.push((answer, Answer::Refused(0.0)));
+            return None;
+        }
+        if !Store::fits_batch(*room + more) {
+            let submission =
+                Submission { number, txn, class, tenant, destination, key, body, ends_at, answer };
+            self.deferred.push(Input::HandedIn(submission));
+            return None;
+        }
+        *room += more;
+        let id = self.hold(Held { txn, hand_in: number, key, body, ends_at, attempts: 0 });
+        self.hand_ins.insert(number, id);
+        fresh.push(Fresh { id, record, answer });
+        Some(Message {
+            id,
+            class,
+            tenant,
+            ordering_key: 0,
+            time_left: left.as_secs_f64() * 1_000.0,
+            work_guess: None,
+            destination,
+        })
+    }
+
+    fn hold(&mut self, held: Held) -> MessageId {
+        let mut id = MessageId(self.next_id);
+        while self.held.contains_key(&id) || self.calls.contains_key(&id) {
+            id = MessageId(id.0.wrapping_add(1));
+        }
+        self.next_id = id.0.wrapping_add(1);
+        self.ids.insert(held.txn.clone(), id);
+        self.held.insert(id, held);
+        id
+    }
+
+    fn release(&mut self, id: MessageId) -> Option<Held> {
+        let held = self.held.remove(&id)?;
+        self.ids.remove(&held.txn);
+        self.hand_ins.remove(&held.hand_in);
+        Some(held)
+    }
+
+    fn withdraw(&mut self, hand_in: u64) -> Option<Event> {
+        let id = *self.hand_ins.get(&hand_in)?;
+        let held = self.release(id)?;
+        self.store.end(&held.txn, None);
+        Some(Event::Dropped(id))
+    }
+
+    /// The attempt's place in the journal, and the call to make. While stopping none starts too late: the
+    /// message then stays in the journal for the next start.
+    fn attempt(&mut self, now: Instant, id: MessageId, route: RouteId, timeout: Millis) -> Option<Call> {
+        if self.stop.is_some_and(|at| now - at >= STOP_SENDING) {
+            return None;
+        }
+        let held = self.held.get_mut(&id)?;
+        let (receiver, zone) = self.outbound.place(route)?;
+        let attempt = held.attempts;
+        held.attempts += 1;
+        self.store.attempt(&held.txn, Ran { at: store::wall_ms(), receiver, zone });
+        let (txn, key, body) = (held.txn.clone(), held.key.clone(), held.body.clone());
+        let patience = Duration::from_secs_f64(timeout.max(0.0) / 1_000.0);
+        let until = if timeout == 0.0 { held.ends_at } else { (now + patience).min(held.ends_at) };
+        Some(Call { id, attempt, route, txn, key, body, until })
+    }
+
+    fn outcome(&mut self, id: MessageId, attempt: u32, report: Report) -> Event {
+        self.calls.remove(&id);
+        let Report { outcome, wait, closed } = report;
+        if let Some(held) = self.held.get(&id) {
+            if closed {
+                self.store.end(&held.txn, None);
+                self.release(id);
+            } else {
+                let never = matches!(
+                    outcome,
+                    Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
+                );
+                self.store.outcome(&held.txn, !never);
+            }
+        }
+        let closed = !self.held.contains_key(&id);
+        Event::Outcome { id, attempt, outcome, retry_after: wait, closed }
+    }
+
+    fn cancel(&mut self, id: MessageId, attempt: u32) {
+        let out = self.held.get(&id).is_none_or(|held| held.attempts == attempt + 1);
+        if let Some(call) = self.calls.get(&id).filter(|_| out) {
+            call.abort();
+            let event = self.outcome(id, attempt, Outcome::Cancelled.into());
+            self.carried.push(event);
+        }
+    }
+
+    /// Hands the module what the journal holds, with each message's history; and the platform what it has
+    /// not acknowledged. An attempt without an outcome may have run.
+    fn recover(&mut self, now: Instant) {
+        let owed: Vec<Notice> = self.store.owed().collect();
+        owed.into_iter().for_each(|notice| self.reports.push(notice));
+        let wall = store::wall_ms();
+        let messages: Vec<store::Message> = self.store.open_messages().cloned().collect();
+        if !messages.is_empty() {
+            eprintln!("journal: {} messages taken up again", messages.len());
+        }
+        for m in messages {
+            let class = self.names.classes.iter().position(|name| **name == *m.class);
+            let tenant = self.names.tenants.iter().position(|name| **name == *m.tenant);
+            let Some(class) = class else {
+                eprintln!("journal: message {} is of class {}, which is no more: given up", m.txn, m.class);
+                self.store.end(&m.txn, Some(Status::Undeliverable));
+                self.reports.push(Notice { txn: m.txn, status: Status::Undeliverable });
+                continue;
+            };
+            let left = m.deadline.saturating_sub(wall);
+            let ran = m.may_have_run.or(m.out);
+            let may_have_run = ran.map(|ran| PastRun {
+                ago: wall.saturating_sub(ran.at) as Millis,
+                route: self.route(&ran.receiver),
+                zone: self.zone(&ran.zone),
+            });
+            let ends_at = now + Duration::from_millis(left);
+            let id = self.hold(Held {
+                txn: m.txn,
+                // No client waits for it.
+                hand_in: u64::MAX,
+                key: m.key,
+                body: m.body,
+                ends_at,
+                attempts: m.attempts,
+            });
+            let message = Message {
+                id,
+                class,
+                tenant: tenant.unwrap_or(usize::MAX),
+                ordering_key: 0,
+                time_left: left as Millis,
+                work_guess: None,
+                destination: DestinationId(m.destination),
+            };
+            let past = Past { attempts: m.attempts, may_have_run };
+            self.carried.push(Event::Recovered(message, past));
+        }
+    }
+
+    // ---- The list ----------------------------------------------------------------------------------------
+
+    /// The list in the module's terms; outgoing calls follow it at once.
+    fn list(&mut self, list: &List) -> Vec<RouteEntry> {
+        let entries: Vec<RouteEntry> = list.members.iter().map(|member| self.member(member)).collect();
+        if list.complete {
+            let listed: HashSet<RouteId> = entries.iter().map(|e| e.route).collect();
+            self.outbound.keep_only(&listed);
+        }
+        entries
+    }
+
+    fn member(&mut self, member: &Member) -> RouteEntry {
+        let kind = self.names.kinds.iter().position(|name| *name == member.flavor);
+        // The last kind serves for those without a name.
+        let kind = kind.unwrap_or(self.settings.kinds.len().saturating_sub(1));
+        let listing = match member.phase.as_str() {
+            "SERVING" => Listing::Ready,
+            "DELETED" => Listing::Gone,
+            _ => Listing::Draining,
+        };
+        let entry = RouteEntry {
+            route: self.route(&member.id),
+            destination: DestinationId(member.cell),
+            zone: self.zone(&member.locality),
+            kind: kind as u16,
+            listing,
+            rate: member.size,
+        };
+        if listing != Listing::Gone {
+            self.destinations.insert(entry.destination);
+        }
+        let route = Route {
+            addr: member.host_port.parse().ok(),
+            receiver: member.id.as_str().into(),
+            zone: member.locality.as_str().into(),
+            destination: entry.destination,
+            apart: self.settings.kinds.get(kind).is_some_and(|kind| kind.routes_apart),
+            listing,
+        };
+        self.outbound.list(entry.route, route);
+        entry
+    }
+
+    fn route(&mut self, receiver: &str) -> RouteId {
+        let next = RouteId(self.routes.len() as u64);
+        *self.routes.entry(receiver.into()).or_insert(next)
+    }
+
+    /// A zone's number; one that the settings do not name gets a further one, so that it is like no other.
+    fn zone(&mut self, zone: &str) -> u8 {
+        let known = self.zones.iter().position(|name| name == zone);
+        let index = known.unwrap_or_else(|| {
+            self.zones.push(zone.to_owned());
+            self.zones.len() - 1
+        });
+        u8::try_from(index).unwrap_or(u8::MAX)
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,115 @@
+//! The sender on real sockets: what stands between the decisions and the network.
+
+pub mod discovery;
+pub mod host;
+pub mod inbound;
+pub mod outbound;
+pub mod reports;
+pub mod store;
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A message's id, as its client chose it.
+pub type Txn = Rc<str>;
+
+/// Bytes that a message's body may hold at most.
+pub const MAX_BODY: usize = 64 * 1024;
+
+/// How far a message on a connection has been written.
+#[derive(Debug, Default)]
+struct Meter {
+    written: Cell<u64>,
+    complete: Cell<bool>,
+}
+
+impl Meter {
+    /// From here on the next message counts.
+    fn reset(&self) {
+        self.written.set(0);
+        self.complete.set(false);
+    }
+
+    /// Whether any byte has been written.
+    fn started(&self) -> bool {
+        self.written.get() > 0
+    }
+
+    /// Whether the last byte has been written.
+    fn complete(&self) -> bool {
+        self.complete.get()
+    }
+}
+
+/// A stream that keeps its meter.
+struct Metered {
+    io: TokioIo<TcpStream>,
+    meter: Rc<Meter>,
+}
+
+impl Metered {
+    fn new(stream: TcpStream, meter: Rc<Meter>) -> Self {
+        Self { io: TokioIo::new(stream), meter }
+    }
+
+    fn count(&self, result: &Poll<std::io::Result<usize>>) {
+        if let Poll::Ready(Ok(n)) = result {
+            self.meter.written.set(self.meter.written.get() + *n as u64);
+        }
+    }
+}
+
+impl Read for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buf)
+    }
+}
+
+impl Write for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.io).poll_write(cx, buf);
+        self.count(&result);
+        result
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        self.count(&result);
+        result
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        // hyper flushes only once all that it has encoded is written, and it encodes a message with a ready
+        // body as a whole: after the first byte, a flush means that the last one is written too.
+        if self.meter.started() {
+            self.meter.complete.set(true);
+        }
+        Pin::new(&mut self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/net/outbound.rs
@@ -0,0 +1,370 @@
+//! Calls to receivers: the routes as last told, the pool of kept connections, calls and probes.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use rudderspindle::interface::*;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::task::{AbortHandle, JoinHandle, spawn_local};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::host::Input;
+use super::{MAX_BODY, Meter, Metered, Txn};
+
+const X_TXN: HeaderName = HeaderName::from_static("x-txn");
+const X_REMAINING: HeaderName = HeaderName::from_static("x-remaining");
+const X_BACKOFF_MS: HeaderName = HeaderName::from_static("x-backoff-ms");
+const X_EGRESS_FULL: HeaderName = HeaderName::from_static("x-egress-full");
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// An idle connection is given up so long before the receiver closes it, as its clock started earlier than
+/// ours: when it wrote its answer.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// How long the rest of an answer may take before its connection is given up.
+const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_millis(500);
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A receiver as the list tells of it.
+#[derive(Debug)]
+pub struct Route {
+    pub addr: Option<SocketAddr>,
+    pub receiver: Rc<str>,
+    pub zone: Rc<str>,
+    pub destination: DestinationId,
+    /// Whether it has waits of its own, apart from its destination's.
+    pub apart: bool,
+    pub listing: Listing,
+}
+
+/// One call with a message.
+#[derive(Debug)]
+pub struct Call {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub route: RouteId,
+    pub txn: Txn,
+    pub key: Option<Bytes>,
+    pub body: Bytes,
+    /// When to stop waiting.
+    pub until: Instant,
+}
+
+/// What came of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Report {
+    pub outcome: Outcome,
+    /// The wait told, in milliseconds; 0 for none.
+    pub wait: Millis,
+    /// Whether nothing more is owed.
+    pub closed: bool,
+}
+
+impl From<Outcome> for Report {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, wait: 0.0, closed: outcome == Outcome::Ok }
+    }
+}
+
+/// Everything that calls share.
+#[derive(Debug)]
+pub struct Outbound {
+    routes: RefCell<HashMap<RouteId, Route>>,
+    /// Until when nothing may be sent.
+    waits: RefCell<HashMap<Waits, Instant>>,
+    idle: RefCell<HashMap<RouteId, Vec<Connection>>>,
+    sockets: Arc<Semaphore>,
+    connect_timeout: Duration,
+    idle_time: Duration,
+    host: mpsc::Sender<Input>,
+}
+
+impl Outbound {
+    pub fn new(settings: &Settings, sockets: usize, host: mpsc::Sender<Input>) -> Self {
+        let idle_close = Duration::from_secs_f64(settings.idle_close.max(0.0) / 1_000.0);
+        Self {
+            routes: RefCell::default(),
+            waits: RefCell::default(),
+            idle: RefCell::default(),
+            sockets: Arc::new(Semaphore::new(sockets)),
+            connect_timeout: Duration::from_secs_f64(settings.connect_timeout.max(1.0) / 1_000.0),
+            idle_time: idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2),
+            host,
+        }
+    }
+
+    /// Takes in what the list says of a route. Connections that it makes useless are closed.
+    pub fn list(&self, id: RouteId, route: Route) {
+        let keeps = route.listing == Listing::Ready
+            && self.routes.borrow().get(&id).is_some_and(|r| r.addr == route.addr);
+        if !keeps {
+            self.idle.borrow_mut().remove(&id);
+        }
+        self.routes.borrow_mut().insert(id, route);
+    }
+
+    /// A whole list has come: what it does not name is gone.
+    pub fn keep_only(&self, listed: &HashSet<RouteId>) {
+        self.routes.borrow_mut().retain(|id, _| listed.contains(id));
+        self.idle.borrow_mut().retain(|id, _| listed.contains(id));
+    }
+
+    /// A receiver's name and zone.
+    pub fn place(&self, id: RouteId) -> Option<(Rc<str>, Rc<str>)> {
+        self.routes.borrow().get(&id).map(|r| (r.receiver.clone(), r.zone.clone()))
+    }
+
+    /// Closes connections that have stood idle for too long, for good.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let now = Instant::now();
+            self.idle.borrow_mut().retain(|_, idle| {
+                idle.retain(|c| c.usable(now, self.idle_time));
+                !idle.is_empty()
+            });
+        }
+    }
+
+    /// Starts a call; what comes of it is told to the host.
+    pub fn start(self: &Rc<Self>, call: Call) -> AbortHandle {
+        let this = self.clone();
+        let task = async move {
+            let (id, attempt) = (call.id, call.attempt);
+            let (report, rest) = this.call(&call).await;
+            let _ = this.host.send(Input::Outcome { id, attempt, report }).await;
+            this.finish(call.route, rest).await;
+        };
+        spawn_local(task).abort_handle()
+    }
+
+    /// Starts a probe; what comes of it is told to the host.
+    pub fn probe(self: &Rc<Self>, route: RouteId) {
+        let this = self.clone();
+        spawn_local(async move {
+            let until = Instant::now() + PROBE_TIMEOUT;
+            let request =
+                |host: HeaderValue| Request::get("/-/healthy").header(HOST, host).body(Full::default());
+            let (report, rest) = this.exchange(route, until, request).await;
+            let _ = this.host.send(Input::Probed { route, outcome: report.outcome }).await;
+            this.finish(route, rest).await;
+        });
+    }
+
+    async fn call(&self, call: &Call) -> (Report, Option<Rest>) {
+        let request = |host: HeaderValue| {
+            let left = call.until.saturating_duration_since(Instant::now()).as_secs_f64();
+            let mut request = Request::post("/v1/messages")
+                .header(HOST, host)
+                .header(X_TXN, &*call.txn)
+                .header(X_REMAINING, format!("{left:.3}"));
+            if let Some(key) = &call.key {
+                request = request.header(IDEMPOTENCY_KEY, &**key);
+            }
+            request.body(Full::new(call.body.clone()))
+        };
+        self.exchange(call.route, call.until, request).await
+    }
+
+    /// One request and the head of its answer.
+    async fn exchange(
+        &self,
+        route: RouteId,
+        until: Instant,
+        request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
+    ) -> (Report, Option<Rest>) {
+        loop {
+            let Some(addr) = self.routes.borrow().get(&route).and_then(|r| r.addr) else {
+                return (Outcome::Moot.into(), None);
+            };
+            let (mut connection, kept) = match self.kept(route) {
+                Some(connection) => (connection, true),
+                None => match self.connect(addr, until).await {
+                    Ok(connection) => (connection, false),
+                    Err(outcome) => return (outcome.into(), None),
+                },
+            };
+            // A drain or a wait may have been told since the decision, above all while a connection came up.
+            if !self.may_send(route) {
+                self.keep(route, connection);
+                return (Outcome::Moot.into(), None);
+            }
+            let host = HeaderValue::from_str(&addr.to_string());
+            let Some(request) = host.ok().and_then(|host| request(host).ok()) else {
+                self.keep(route, connection);
+                return (Outcome::Moot.into(), None);
+            };
+            connection.meter.reset();
+            let answer = timeout_at(until, connection.sender.send_request(request)).await;
+            let meter = connection.meter.clone();
+            match answer {
+                Ok(Ok(response)) => {
+                    let report = read(&response);
+                    if report.wait > 0.0 {
+                        self.wait(route, report.wait);
+                    }
+                    return (report, Some((connection, response)));
+                }
+                // A kept connection that the receiver closed before a byte of this went out: no attempt yet.
+                Ok(Err(_)) if kept && !meter.started() => {}
+                Ok(Err(_)) if meter.complete() => return (Outcome::Reset.into(), None),
+                Err(_) if meter.complete() => return (Outcome::Timeout.into(), None),
+                // A receiver begins a call when its last byte has come: this one never ran.
+                _ => return (Outcome::ConnectFailed.into(), None),
+            }
+        }
+    }
+
+    /// Reads the rest of an answer, so that its connection can be used again.
+    async fn finish(&self, route: RouteId, rest: Option<Rest>) {
+        let Some((mut connection, response)) = rest else { return };
+        let rest = async {
+            Limited::new(response.into_body(), MAX_BODY).collect().await.ok()?;
+            connection.sender.ready().await.ok()
+        };
+        if timeout(REST_OF_ANSWER, rest).await == Ok(Some(())) {
+            self.keep(route, connection);
+        }
+    }
+
+    /// Whether the route takes calls at this moment.
+    fn may_send(&self, id: RouteId) -> bool {
+        let routes = self.routes.borrow();
+        let Some(route) = routes.get(&id).filter(|r| r.listing == Listing::Ready) else { return false };
+        self.waits.borrow().get(&route.waits(id)).is_none_or(|&until| until <= Instant::now())
+    }
+
+    fn wait(&self, id: RouteId, wait: Millis) {
+        let until = Instant::now() + Duration::from_secs_f64(wait / 1_000.0);
+        if let Some(route) = self.routes.borrow().get(&id) {
+            let mut waits = self.waits.borrow_mut();
+            let at = waits.entry(route.waits(id)).or_insert(until);
+            *at = (*at).max(until);
+        }
+    }
+
+    /// The connection that was used last: the others may then grow old and go.
+    fn kept(&self, route: RouteId) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&route)?;
+        while let Some(connection) = kept.pop() {
+            if connection.usable(now, self.idle_time) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, route: RouteId, mut connection: Connection) {
+        let ready = self.routes.borrow().get(&route).is_some_and(|r| r.listing == Listing::Ready);
+        if ready && !connection.sender.is_closed() {
+            connection.idle_since = Instant::now();
+            self.idle.borrow_mut().entry(route).or_default().push(connection);
+        }
+    }
+
+    async fn connect(&self, addr: SocketAddr, until: Instant) -> Result<Connection, Outcome> {
+        let permit = match self.sockets.clone().try_acquire_owned() {
+            Ok(permit) => permit,
+            Err(_) => {
+                self.close_oldest();
+                self.sockets.clone().try_acquire_owned().map_err(|_| Outcome::Moot)?
+            }
+        };
+        let until = until.min(Instant::now() + self.connect_timeout);
+        let open = async {
+            let stream = TcpStream::connect(addr).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let meter = Rc::new(Meter::default());
+            let io = Metered::new(stream, meter.clone());
+            let (sender, connection) = http1::handshake(io).await.ok()?;
+            let task = spawn_local(async move {
+                let _permit = permit;
+                // How it ended shows in the call that was out.
+                let _ = connection.await;
+            });
+            Some(Connection { sender, meter, task, idle_since: Instant::now() })
+        };
+        timeout_at(until, open).await.ok().flatten().ok_or(Outcome::ConnectFailed)
+    }
+
+    fn close_oldest(&self) {
+        let mut idle = self.idle.borrow_mut();
+        // The longest idle of each route stands first.
+        let oldest = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since);
+        if let Some(connections) = oldest {
+            connections.remove(0);
+        }
+    }
+}
+
+/// What a told wait holds for: a route that is apart, or else a destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Waits {
+    Route(RouteId),
+    Destination(DestinationId),
+}
+
+impl Route {
+    fn waits(&self, id: RouteId) -> Waits {
+        if self.apart { Waits::Route(id) } else { Waits::Destination(self.destination) }
+    }
+}
+
+/// A connection, and an answer whose body has not been read.
+type Rest = (Connection, Response<Incoming>);
+
+/// A connection to a receiver. Closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    meter: Rc<Meter>,
+    task: JoinHandle<()>,
+    idle_since: Instant,
+}
+
+impl Connection {
+    fn usable(&self, now: Instant, idle_time: Duration) -> bool {
+        !self.sender.is_closed() && now - self.idle_since < idle_time
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// How an answer reads.
+fn read(response: &Response<Incoming>) -> Report {
+    let headers = response.headers();
+    match response.status().as_u16() {
+        200 => Outcome::Ok.into(),
+        429 => Report { wait: told_wait(headers), ..Outcome::Full.into() },
+        503 if headers.get(X_EGRESS_FULL).is_some_and(|v| v == "1") => Outcome::Moot.into(),
+        503 => Report { wait: told_wait(headers), ..Outcome::Full.into() },
+        504 => Outcome::Spent.into(),
+        410 => Report { closed: true, ..Outcome::Moot.into() },
+        // 500, and whatever else is said: it may have run.
+        _ => Outcome::Error.into(),
+    }
+}
+
+fn told_wait(headers: &HeaderMap) -> Millis {
+    const LONGEST: Millis = 3_600_000.0;
+    let text = headers.get(X_BACKOFF_MS).and_then(|v| v.to_str().ok());
+    let wait = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|w| w.is_finite());
+    wait.unwrap_or(0.0).clamp(0.0, LONGEST)
+}
--- /dev/null
+++ b/src/net/reports.rs
@@ -0,0 +1,134 @@
+//! Notices to the platform: how messages ended that were taken on and not delivered.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
+
+use super::host::Input;
+use super::store::{Notice, Status};
+
+/// An answer comes at once: a request without one for so long is made again, with more patience.
+const FIRST_PATIENCE: Duration = Duration::from_millis(100);
+const LONGEST_PATIENCE: Duration = Duration::from_secs(2);
+/// Notices in one request.
+const MOST: usize = 200;
+
+/// Notices not yet acknowledged. No longer than the journal has room for.
+#[derive(Debug, Default)]
+pub struct Reports {
+    queue: RefCell<VecDeque<Notice>>,
+    more: Notify,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum ReportError {
+    #[error("no answer in time")]
+    Silent,
+    #[error("{0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("status {0}")]
+    Status(StatusCode),
+}
+
+impl Reports {
+    pub fn push(&self, notice: Notice) {
+        self.queue.borrow_mut().push_back(notice);
+        self.more.notify_one();
+    }
+
+    /// Whether everything has been acknowledged.
+    pub fn is_idle(&self) -> bool {
+        self.queue.borrow().is_empty()
+    }
+
+    /// Sends what is queued, again and again until it is acknowledged with 204.
+    pub async fn run(&self, addr: SocketAddr, host: mpsc::Sender<Input>) {
+        let mut connection = None;
+        let (mut patience, mut most) = (FIRST_PATIENCE, MOST);
+        loop {
+            let batch: Vec<Notice> = self.queue.borrow().iter().take(most).cloned().collect();
+            if batch.is_empty() {
+                self.more.notified().await;
+                continue;
+            }
+            let sent = timeout(patience, post(addr, &mut connection, &batch)).await;
+            match sent.unwrap_or(Err(ReportError::Silent)) {
+                Ok(()) => {
+                    self.queue.borrow_mut().drain(..batch.len());
+                    let settled = batch.into_iter().map(|n| n.txn).collect();
+                    if host.send(Input::Settled(settled)).await.is_err() {
+                        return;
+                    }
+                    (patience, most) = (FIRST_PATIENCE, MOST);
+                }
+                Err(error) => {
+                    connection = None;
+                    if patience == FIRST_PATIENCE {
+                        eprintln!("reports: {} notices not taken: {error}; trying again", batch.len());
+                    }
+                    if matches!(error, ReportError::Status(_)) {
+                        // One that can't be read must not hold up the others: one at a time, in turn.
+                        most = 1;
+                        self.queue.borrow_mut().rotate_left(1);
+                    }
+                    sleep(patience / 4).await;
+                    patience = (patience * 2).min(LONGEST_PATIENCE);
+                }
+            }
+        }
+    }
+}
+
+/// The connection that is kept, and the task that drives it.
+type Kept = (SendRequest<Full<Bytes>>, tokio::task::JoinSet<hyper::Result<()>>);
+
+async fn post(addr: SocketAddr, kept: &mut Option<Kept>, batch: &[Notice]) -> Result<(), ReportError> {
+    let (mut sender, tasks) = match kept.take().filter(|k| !k.0.is_closed()) {
+        Some(kept) => kept,
+        None => {
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+            let mut tasks = tokio::task::JoinSet::new();
+            tasks.spawn_local(connection);
+            (sender, tasks)
+        }
+    };
+    let mut lines = String::new();
+    for notice in batch {
+        let id = &*notice.txn;
+        let line = match notice.status {
+            Status::Undeliverable => serde_json::json!({ "id": id, "status": "undeliverable" }),
+            Status::Deferred(None) => serde_json::json!({ "id": id, "status": "deferred" }),
+            Status::Deferred(Some(ms)) => {
+                serde_json::json!({ "id": id, "status": "deferred", "again_ms": ms })
+            }
+        };
+        lines.push_str(&line.to_string());
+        lines.push('\n');
+    }
+    sender.ready().await?;
+    let request = Request::post("/reports").header(header::HOST, addr.to_string()).body(Full::from(lines))?;
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    if status != StatusCode::NO_CONTENT {
+        return Err(ReportError::Status(status));
+    }
+    response.into_body().collect().await?;
+    *kept = Some((sender, tasks));
+    Ok(())
+}
--- /dev/null
+++ b/src/net/store.rs
@@ -0,0 +1,516 @@
+//! The sender's own journal in the folder that outlasts its process.
+//!
+//! Append-only segments, `journal-<number>`. A record is its payload's length (u32) and CRC-32 (u32), little
+//! endian, then the payload: a tag and fields. What a process wrote outlasts it without a sync, so a kill
+//! leaves at most one torn record at the end of the last segment.
+//!
+//! Room is made by writing what is still live in the oldest segment again, at the end, and deleting that
+//! segment afterwards. A kill between the two leaves the same facts twice, which reading takes as once.
+//! Because the oldest goes first, a message's end never disappears before its beginning.
+
+use std::collections::{HashMap, VecDeque};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+
+use super::{MAX_BODY, Txn};
+
+/// Size from which a new segment is begun; longer than any record, and the most that a batch takes on. So a
+/// segment holds less than two of these and some short records.
+const SEGMENT: u64 = 128 * 1024;
+/// Kept free between batches: for one batch (with short records), and for one segment that is moved.
+const RESERVE: u64 = 5 * SEGMENT;
+/// What is taken on stays so far below that moving it always frees enough.
+const HEADROOM: u64 = 8 * SEGMENT;
+/// Bytes of a record before its payload.
+const FRAME: usize = 8;
+/// What the platform counts a file in.
+const BLOCK: u64 = 512;
+/// A payload longer than this is damage.
+const MAX_PAYLOAD: usize = MAX_BODY + 4096;
+
+const TAKEN: u8 = 1;
+const ATTEMPT: u8 = 2;
+const OUTCOME: u8 = 3;
+const ENDED: u8 = 4;
+const SETTLED: u8 = 5;
+
+/// Milliseconds of the wall clock since 1970: the one clock that outlasts a process.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO).as_millis() as u64
+}
+
+/// Where and when an attempt went out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ran {
+    pub at: u64,
+    pub receiver: Rc<str>,
+    pub zone: Rc<str>,
+}
+
+/// A message taken on, with its history.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    pub txn: Txn,
+    pub class: Rc<str>,
+    pub tenant: Rc<str>,
+    pub destination: u16,
+    pub key: Option<Bytes>,
+    /// Wall clock.
+    pub deadline: u64,
+    pub body: Bytes,
+    /// Attempts that were on record before their first byte.
+    pub attempts: u32,
+    /// The first attempt that is known to have run, or may have.
+    pub may_have_run: Option<Ran>,
+    /// The attempt that has no outcome yet.
+    pub out: Option<Ran>,
+}
+
+impl Message {
+    /// Room that taking it on needs: its record again with a history, and its notice.
+    pub fn room(&self) -> u64 {
+        (self.body.len() + self.key.as_ref().map_or(0, Bytes::len) + 2 * self.txn.len() + 768) as u64
+    }
+}
+
+/// How a message that was taken on and not delivered ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    pub txn: Txn,
+    pub status: Status,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    Undeliverable,
+    /// The client may come again, after so many milliseconds if told.
+    Deferred(Option<u64>),
+}
+
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    bytes: u64,
+}
+
+/// What an id stands for, and the segment that holds its last full record.
+#[derive(Debug)]
+struct Entry {
+    segment: u64,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Open(Message),
+    Owed(Status),
+}
+
+/// The journal and what it says.
+#[derive(Debug)]
+pub struct Store {
+    folder: PathBuf,
+    budget: u64,
+    /// Oldest first; the last one is written to.
+    segments: VecDeque<Segment>,
+    file: File,
+    batch: Vec<u8>,
+    entries: HashMap<Txn, Entry>,
+    /// Room that all entries need.
+    live: u64,
+}
+
+impl Store {
+    /// Reads the journal in `folder`, cuts a torn tail and begins a new segment.
+    pub fn open(folder: &Path, budget: u64) -> io::Result<Self> {
+        let mut numbers: Vec<u64> = Vec::new();
+        for entry in fs::read_dir(folder)? {
+            let name = entry?.file_name();
+            let number: Option<u64> =
+                name.to_str().and_then(|n| n.strip_prefix("journal-")).and_then(|n| n.parse().ok());
+            numbers.extend(number);
+        }
+        numbers.sort_unstable();
+        let mut entries = HashMap::new();
+        let mut segments = VecDeque::new();
+        for &number in &numbers {
+            let path = path(folder, number);
+            let bytes = fs::read(&path)?;
+            let end = replay(&bytes, number, &mut entries);
+            if end < bytes.len() {
+                eprintln!("journal: segment {number} ends in {} torn bytes: cut", bytes.len() - end);
+                OpenOptions::new().write(true).open(&path)?.set_len(end as u64)?;
+            }
+            segments.push_back(Segment { number, bytes: end as u64 });
+        }
+        let number = numbers.last().map_or(0, |n| n + 1);
+        let file = create(folder, number)?;
+        segments.push_back(Segment { number, bytes: 0 });
+        let live = entries.iter().map(|(txn, entry)| entry.room(txn)).sum();
+        let folder = folder.to_owned();
+        let mut store = Self { folder, budget, segments, file, batch: Vec::new(), entries, live };
+        store.make_room()?;
+        Ok(store)
+    }
+
+    /// Messages that are still owed their end.
+    pub fn open_messages(&self) -> impl Iterator<Item = &Message> {
+        self.entries.values().filter_map(|e| match &e.state {
+            State::Open(message) => Some(message),
+            State::Owed(_) => None,
+        })
+    }
+
+    /// Notices that have not been acknowledged.
+    pub fn owed(&self) -> impl Iterator<Item = Notice> + '_ {
+        self.entries.iter().filter_map(|(txn, e)| match e.state {
+            State::Owed(status) => Some(Notice { txn: txn.clone(), status }),
+            State::Open(_) => None,
+        })
+    }
+
+    /// Whether so much more can be taken on and still be kept for good.
+    pub fn has_room(&self, more: u64) -> bool {
+        self.live + more <= self.budget.saturating_sub(HEADROOM)
+    }
+
+    /// Whether a batch of so many bytes can be written at once.
+    pub fn fits_batch(bytes: u64) -> bool {
+        bytes <= SEGMENT
+    }
+
+    pub fn take(&mut self, message: Message) {
+        put_taken(&mut self.batch, &message);
+        self.live += message.room();
+        let (txn, segment) = (message.txn.clone(), self.current());
+        self.entries.insert(txn, Entry { segment, state: State::Open(message) });
+    }
+
+    /// An attempt that is about to go out.
+    pub fn attempt(&mut self, txn: &Txn, ran: Ran) {
+        let Some(message) = open_mut(&mut self.entries, txn) else { return };
+        put(&mut self.batch, ATTEMPT, |p| {
+            put_text(p, txn);
+            p.extend(message.attempts.to_le_bytes());
+            put_ran(p, Some(&ran));
+        });
+        message.attempts += 1;
+        message.out = Some(ran);
+    }
+
+    /// The attempt that was out has ended.
+    pub fn outcome(&mut self, txn: &Txn, may_have_run: bool) {
+        let Some(message) = open_mut(&mut self.entries, txn) else { return };
+        put(&mut self.batch, OUTCOME, |p| {
+            put_text(p, txn);
+            p.push(u8::from(may_have_run));
+        });
+        message.settle(may_have_run);
+    }
+
+    /// A message has ended; `owed` is the notice that its platform must get.
+    pub fn end(&mut self, txn: &Txn, owed: Option<Status>) {
+        let Some(entry) = self.entries.remove(txn) else { return };
+        self.live -= entry.room(txn);
+        put_ended(&mut self.batch, txn, owed);
+        if let Some(status) = owed {
+            let entry = Entry { segment: self.current(), state: State::Owed(status) };
+            self.live += entry.room(txn);
+            self.entries.insert(txn.clone(), entry);
+        }
+    }
+
+    /// A notice has been acknowledged.
+    pub fn settled(&mut self, txn: &Txn) {
+        let Some(entry) = self.entries.remove(txn) else { return };
+        self.live -= entry.room(txn);
+        put(&mut self.batch, SETTLED, |p| put_text(p, txn));
+    }
+
+    /// Writes the batch. After an error nothing of it is in the journal.
+    pub fn commit(&mut self) -> io::Result<()> {
+        if self.batch.is_empty() {
+            return Ok(());
+        }
+        let batch = std::mem::take(&mut self.batch);
+        self.append(&batch)?;
+        if let Err(error) = self.make_room() {
+            eprintln!("journal: no room could be made: {error}");
+        }
+        Ok(())
+    }
+
+    /// Forgets a message whose batch could not be written.
+    pub fn forget(&mut self, txn: &Txn) {
+        if let Some(entry) = self.entries.remove(txn) {
+            self.live -= entry.room(txn);
+        }
+    }
+
+    fn current(&self) -> u64 {
+        self.segments.back().map_or(0, |s| s.number)
+    }
+
+    fn total(&self) -> u64 {
+        self.segments.iter().map(|s| s.bytes.next_multiple_of(BLOCK)).sum()
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.total() + bytes.len() as u64 + 2 * BLOCK > self.budget {
+            return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal has no room"));
+        }
+        let Some(segment) = self.segments.back_mut() else { return Ok(()) };
+        if let Err(error) = self.file.write_all(bytes) {
+            // Half a record in the middle would hide what follows it.
+            self.file.set_len(segment.bytes)?;
+            return Err(error);
+        }
+        segment.bytes += bytes.len() as u64;
+        if segment.bytes >= SEGMENT {
+            let number = segment.number + 1;
+            self.file = create(&self.folder, number)?;
+            self.segments.push_back(Segment { number, bytes: 0 });
+        }
+        Ok(())
+    }
+
+    /// Moves what is live out of the oldest segments until enough is free.
+    fn make_room(&mut self) -> io::Result<()> {
+        for _ in 1..self.segments.len() {
+            if self.total() <= self.budget.saturating_sub(RESERVE) {
+                break;
+            }
+            let Some(oldest) = self.segments.front().map(|s| s.number) else { break };
+            let current = self.current();
+            let mut moved = Vec::new();
+            for (txn, entry) in self.entries.iter_mut().filter(|(_, e)| e.segment == oldest) {
+                match &entry.state {
+                    State::Open(message) => put_taken(&mut moved, message),
+                    State::Owed(status) => put_ended(&mut moved, txn, Some(*status)),
+                }
+            }
+            self.append(&moved)?;
+            self.entries.values_mut().filter(|e| e.segment == oldest).for_each(|e| e.segment = current);
+            fs::remove_file(path(&self.folder, oldest))?;
+            self.segments.pop_front();
+        }
+        Ok(())
+    }
+}
+
+impl Entry {
+    fn room(&self, txn: &Txn) -> u64 {
+        match &self.state {
+            State::Open(message) => message.room(),
+            State::Owed(_) => (txn.len() + FRAME + 16) as u64,
+        }
+    }
+}
+
+impl Message {
+    fn settle(&mut self, may_have_run: bool) {
+        let ran = self.out.take().filter(|_| may_have_run);
+        self.may_have_run = self.may_have_run.take().or(ran);
+    }
+}
+
+fn path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("journal-{number:08}"))
+}
+
+fn create(folder: &Path, number: u64) -> io::Result<File> {
+    OpenOptions::new().append(true).create_new(true).open(path(folder, number))
+}
+
+fn open_mut<'a>(entries: &'a mut HashMap<Txn, Entry>, txn: &Txn) -> Option<&'a mut Message> {
+    match entries.get_mut(txn).map(|e| &mut e.state) {
+        Some(State::Open(message)) => Some(message),
+        _ => None,
+    }
+}
+
+// ---- Records ---------------------------------------------------------------------------------------------
+
+/// Appends a record whose payload `fill` writes.
+fn put(batch: &mut Vec<u8>, tag: u8, fill: impl FnOnce(&mut Vec<u8>)) {
+    let start = batch.len();
+    batch.extend([0; FRAME]);
+    batch.push(tag);
+    fill(batch);
+    let (frame, payload) = batch[start..].split_at_mut(FRAME);
+    frame[..4].copy_from_slice(&(payload.len() as u32).to_le_bytes());
+    frame[4..].copy_from_slice(&crc32fast::hash(payload).to_le_bytes());
+}
+
+fn put_bytes(p: &mut Vec<u8>, bytes: &[u8]) {
+    p.extend((bytes.len() as u32).to_le_bytes());
+    p.extend(bytes);
+}
+
+fn put_text(p: &mut Vec<u8>, text: &str) {
+    put_bytes(p, text.as_bytes());
+}
+
+fn put_ran(p: &mut Vec<u8>, ran: Option<&Ran>) {
+    p.push(u8::from(ran.is_some()));
+    if let Some(ran) = ran {
+        p.extend(ran.at.to_le_bytes());
+        put_text(p, &ran.receiver);
+        put_text(p, &ran.zone);
+    }
+}
+
+fn put_taken(batch: &mut Vec<u8>, m: &Message) {
+    put(batch, TAKEN, |p| {
+        put_text(p, &m.txn);
+        put_text(p, &m.class);
+        put_text(p, &m.tenant);
+        p.extend(m.destination.to_le_bytes());
+        p.push(u8::from(m.key.is_some()));
+        put_bytes(p, m.key.as_deref().unwrap_or_default());
+        p.extend(m.deadline.to_le_bytes());
+        p.extend(m.attempts.to_le_bytes());
+        put_ran(p, m.may_have_run.as_ref());
+        put_ran(p, m.out.as_ref());
+        put_bytes(p, &m.body);
+    });
+}
+
+fn put_ended(batch: &mut Vec<u8>, txn: &Txn, owed: Option<Status>) {
+    put(batch, ENDED, |p| {
+        put_text(p, txn);
+        let (tag, again) = match owed {
+            None => (0, 0),
+            Some(Status::Undeliverable) => (1, 0),
+            Some(Status::Deferred(None)) => (2, 0),
+            Some(Status::Deferred(Some(again))) => (3, again),
+        };
+        p.push(tag);
+        p.extend(again.to_le_bytes());
+    });
+}
+
+/// Takes in a segment; returns where its last whole record ends.
+fn replay(bytes: &[u8], segment: u64, entries: &mut HashMap<Txn, Entry>) -> usize {
+    let mut at = 0;
+    while let Some((frame, rest)) = bytes[at..].split_at_checked(FRAME) {
+        let mut fields = Fields(frame);
+        let (Some(length), Some(sum)) = (fields.u32(), fields.u32()) else { break };
+        let length = length as usize;
+        if length > MAX_PAYLOAD {
+            eprintln!("journal: segment {segment} is damaged at byte {at}: the rest of it is lost");
+            break;
+        }
+        let Some(payload) = rest.get(..length) else { break };
+        if crc32fast::hash(payload) != sum {
+            eprintln!("journal: segment {segment} has a damaged record at byte {at}: skipped");
+        } else if apply(payload, segment, entries).is_none() {
+            eprintln!("journal: segment {segment} has an unreadable record at byte {at}: skipped");
+        }
+        at += FRAME + length;
+    }
+    at
+}
+
+fn apply(payload: &[u8], segment: u64, entries: &mut HashMap<Txn, Entry>) -> Option<()> {
+    let mut f = Fields(payload);
+    let (tag, txn) = (f.u8()?, f.text()?);
+    match tag {
+        TAKEN => {
+            let (class, tenant, destination) = (f.text()?, f.text()?, f.u16()?);
+            let key = (f.u8()? != 0, f.bytes()?);
+            let message = Message {
+                txn: txn.clone(),
+                class,
+                tenant,
+                destination,
+                key: key.0.then(|| Bytes::copy_from_slice(key.1)),
+                deadline: f.u64()?,
+                attempts: f.u32()?,
+                may_have_run: f.ran()?,
+                out: f.ran()?,
+                body: Bytes::copy_from_slice(f.bytes()?),
+            };
+            entries.insert(txn, Entry { segment, state: State::Open(message) });
+        }
+        ATTEMPT => {
+            let (number, ran) = (f.u32()?, f.ran()?);
+            if let Some(message) = open_mut(entries, &txn) {
+                message.attempts = message.attempts.max(number + 1);
+                message.out = ran;
+            }
+        }
+        OUTCOME => {
+            let may_have_run = f.u8()? != 0;
+            if let Some(message) = open_mut(entries, &txn) {
+                message.settle(may_have_run);
+            }
+        }
+        ENDED => {
+            let (tag, again) = (f.u8()?, f.u64()?);
+            let status = match tag {
+                0 => None,
+                1 => Some(Status::Undeliverable),
+                2 => Some(Status::Deferred(None)),
+                3 => Some(Status::Deferred(Some(again))),
+                _ => return None,
+            };
+            match status {
+                None => drop(entries.remove(&txn)),
+                Some(status) => drop(entries.insert(txn, Entry { segment, state: State::Owed(status) })),
+            }
+        }
+        SETTLED => drop(entries.remove(&txn)),
+        _ => return None,
+    }
+    Some(())
+}
+
+/// Reads a payload's fields; `None` past its end.
+struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    fn take(&mut self, n: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(n)?;
+        self.0 = rest;
+        Some(head)
+    }
+
+    fn u8(&mut self) -> Option<u8> {
+        self.take(1).map(|b| b[0])
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.take(2)?.try_into().ok().map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.take(4)?.try_into().ok().map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self) -> Option<u64> {
+        self.take(8)?.try_into().ok().map(u64::from_le_bytes)
+    }
+
+    fn bytes(&mut self) -> Option<&'a [u8]> {
+        let length = self.u32()? as usize;
+        self.take(length)
+    }
+
+    fn text(&mut self) -> Option<Rc<str>> {
+        std::str::from_utf8(self.bytes()?).ok().map(Rc::from)
+    }
+
+    /// `None` if unreadable, `Some(None)` if there is none.
+    fn ran(&mut self) -> Option<Option<Ran>> {
+        if self.u8()? == 0 {
+            return Some(None);
+        }
+        Some(Some(Ran { at: self.u64()?, receiver: self.text()?, zone: self.text()? }))
+    }
+}
--- a/src/bin/rudderspindle-drill/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,67 @@
-//! The wire's start-up settings (JSON) in the interface's terms. No decision.
+//! The platform's settings (JSON) in the interface's terms. No decision.
 
-use rudderspindle::interface::*;
+use crate::interface::*;
 use serde_json::Value;
 
-/// Reads settings; unknown keys are skipped.
-pub fn parse(info: &[u8]) -> Result<Settings, String> {
-    let json: Value = serde_json::from_slice(info).map_err(|e| format!("unreadable settings: {e}"))?;
-    let root = Node { value: &json, path: String::new() };
+/// Settings that cannot be read; says which, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadError(String);
+
+impl std::fmt::Display for ReadError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "unreadable settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for ReadError {}
+
+/// What the settings call the things that the interface numbers, by index.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Classes of message.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of destination.
+    pub kinds: Vec<String>,
+}
+
+/// Reads settings from JSON text; unknown keys are skipped.
+///
+/// # Errors
+///
+/// [`ReadError`] if the text is no JSON or a setting is not of its type.
+pub fn parse(info: &[u8]) -> Result<Settings, ReadError> {
+    let json: Value = serde_json::from_slice(info).map_err(|e| ReadError(e.to_string()))?;
+    read(&json)
+}
+
+/// Reads the names from a JSON value.
+///
+/// # Errors
+///
+/// [`ReadError`] if a name is no text.
+pub fn names(json: &Value) -> Result<Names, ReadError> {
+    let root = Node { value: json, path: String::new() };
+    let text = |n: Node<'_>| Ok(n.text_or("")?.to_owned());
+    let named = |n: Node<'_>| Ok(n.child("name").text_or("")?.to_owned());
+    Ok(Names {
+        classes: root.child("lanes").map(named)?,
+        tenants: root.child("projects").map(named)?,
+        zones: root.child("azs").map(text)?,
+        kinds: root.child("kinds").map(text)?,
+    })
+}
+
+/// Reads settings from a JSON value; unknown keys are skipped.
+///
+/// # Errors
+///
+/// [`ReadError`] if a setting is not of its type.
+pub fn read(json: &Value) -> Result<Settings, ReadError> {
+    let root = Node { value: json, path: String::new() };
     let (extra, limits, rules) = (root.child("extra"), root.child("limits"), root.child("rules"));
     let tariffs = root.child("tariffs");
     let bundles = extra.child("bundle_max");
@@ -19,7 +74,7 @@
                 routes_apart: apart.at(i).flag_or(false)?,
             })
         })
-        .collect::<Result<_, String>>()?;
+        .collect::<Result<_, ReadError>>()?;
     Ok(Settings {
         zone: root.child("az").number_or(0.0)? as u8,
         peers_total: root.child("peers_total").number_or(1.0)? as usize,
@@ -32,7 +87,7 @@
         late_decay: match extra.child("loses_worth").text_or("linear")? {
             "linear" => LateDecay::Linear,
             "halving" => LateDecay::Halving,
-            other => return Err(format!("unreadable settings: extra.loses_worth is {other:?}")),
+            other => return Err(ReadError(format!("extra.loses_worth is {other:?}"))),
         },
         slots: extra.child("calls_out").number()? as usize,
         most_held: limits.child("most_held").number()? as usize,
@@ -48,12 +103,12 @@
             "off" => RateHint::None,
             "nominal" => RateHint::Nominal,
             "rough" => RateHint::Rough,
-            other => return Err(format!("unreadable settings: weights is {other:?}")),
+            other => return Err(ReadError(format!("weights is {other:?}"))),
         },
         discovery: match root.child("discovery").text_or("pushed")? {
             "pushed" => Discovery::Pushed,
             "on_request" => Discovery::OnRequest { ask_within: rules.child("ask_within").number_or(0.0)? },
-            other => return Err(format!("unreadable settings: discovery is {other:?}")),
+            other => return Err(ReadError(format!("discovery is {other:?}"))),
         },
         cross_zone_price: tariffs.child("cross_zone").number_or(0.0)?,
         zone_fees: extra.child("fee_by_zone").map(|n| n.number())?,
@@ -66,7 +121,7 @@
     })
 }
 
-fn class(node: Node<'_>) -> Result<Class, String> {
+fn class(node: Node<'_>) -> Result<Class, ReadError> {
     let effect = match node.child("effect").text_or("single_shot")? {
         "free" => Effect::Safe,
         "single_shot" => Effect::Unsafe,
@@ -78,7 +133,7 @@
             },
             window: node.child("window").number()?,
         },
-        other => return Err(format!("unreadable settings: effect is {other:?}")),
+        other => return Err(ReadError(format!("effect is {other:?}"))),
     };
     let deadline = node.child("deadline").number()?;
     Ok(Class {
@@ -113,22 +168,22 @@
         self.value.as_array().map_or(0, Vec::len)
     }
 
-    fn map<T>(&self, read: impl Fn(Node<'a>) -> Result<T, String>) -> Result<Vec<T>, String> {
+    fn map<T>(&self, read: impl Fn(Node<'a>) -> Result<T, ReadError>) -> Result<Vec<T>, ReadError> {
         match self.value {
             Value::Null | Value::Array(_) => (0..self.len()).map(|i| read(self.at(i))).collect(),
             _ => Err(self.unreadable("a list")),
         }
     }
 
-    fn number(&self) -> Result<f64, String> {
+    fn number(&self) -> Result<f64, ReadError> {
         self.value.as_f64().ok_or_else(|| self.unreadable("a number"))
     }
 
-    fn number_or(&self, default: f64) -> Result<f64, String> {
+    fn number_or(&self, default: f64) -> Result<f64, ReadError> {
         if self.value.is_null() { Ok(default) } else { self.number() }
     }
 
-    fn flag_or(&self, default: bool) -> Result<bool, String> {
+    fn flag_or(&self, default: bool) -> Result<bool, ReadError> {
         match self.value {
             Value::Null => Ok(default),
             Value::Bool(flag) => Ok(*flag),
@@ -136,7 +191,7 @@
         }
     }
 
-    fn text_or(&self, default: &'a str) -> Result<&'a str, String> {
+    fn text_or(&self, default: &'a str) -> Result<&'a str, ReadError> {
         match self.value {
             Value::Null => Ok(default),
             Value::String(text) => Ok(text),
@@ -144,7 +199,7 @@
         }
     }
 
-    fn unreadable(&self, wanted: &str) -> String {
-        format!("unreadable settings: {} is not {wanted}", self.path)
+    fn unreadable(&self, wanted: &str) -> ReadError {
+        ReadError(format!("{} is not {wanted}", self.path))
     }
 }
