--- /dev/null
+++ b/tests/common/fakes.rs
@@ -0,0 +1,371 @@
+//! What stands round a sender under test: platform, receivers, clients, and the built program itself.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::pin::Pin;
+use std::process::{ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStderr, Command};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::timeout;
+
+/// Nothing here takes so long unless it is broken.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub async fn soon<T>(what: &str, future: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, future).await.unwrap_or_else(|_| panic!("in vain: {what}"))
+}
+
+// ---- The platform ----------------------------------------------------------------------------------------
+
+/// Discovery and the place for notices.
+pub struct Platform {
+    pub addr: SocketAddr,
+    /// Each watch: its query, and where its lines go. Dropping that ends it.
+    pub watches: UnboundedReceiver<(String, UnboundedSender<String>)>,
+    /// Each request with notices, and how it was answered.
+    pub reports: UnboundedReceiver<(Vec<Value>, u16)>,
+    answers: Arc<Mutex<VecDeque<u16>>>,
+}
+
+struct LinesBody(UnboundedReceiver<String>);
+
+impl Body for LinesBody {
+    type Data = Bytes;
+    type Error = Infallible;
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.0.poll_recv(cx).map(|line| line.map(|line| Ok(Frame::data(Bytes::from(line + "\n")))))
+    }
+}
+
+type Reply = Response<BoxBody<Bytes, Infallible>>;
+
+fn reply(status: u16) -> Reply {
+    let mut reply = Response::new(Full::default().boxed());
+    *reply.status_mut() = StatusCode::from_u16(status).expect("a status");
+    reply
+}
+
+impl Platform {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (watch_to, watches) = unbounded_channel();
+        let (report_to, reports) = unbounded_channel();
+        let answers = Arc::new(Mutex::new(VecDeque::new()));
+        let script = answers.clone();
+        serve(listener, move |request| {
+            let (watch_to, report_to, script) = (watch_to.clone(), report_to.clone(), script.clone());
+            async move {
+                if request.uri().path() == "/reports" {
+                    let body = request.into_body().collect().await.ok()?.to_bytes();
+                    let lines = body.split(|&b| b == b'\n').filter(|l| !l.is_empty());
+                    let notices = lines.map(|l| serde_json::from_slice(l).expect("JSON")).collect();
+                    let status = script.lock().expect("a script").pop_front().unwrap_or(204);
+                    report_to.send((notices, status)).ok()?;
+                    return Some(reply(status));
+                }
+                let (lines, body) = unbounded_channel();
+                watch_to.send((request.uri().query().unwrap_or_default().to_owned(), lines)).ok()?;
+                Some(Response::new(LinesBody(body).boxed()))
+            }
+        });
+        Self { addr, watches, reports, answers }
+    }
+
+    /// How the next requests with notices are answered; after that 204.
+    pub fn answer_reports(&self, statuses: &[u16]) {
+        self.answers.lock().expect("a script").extend(statuses);
+    }
+
+    pub async fn watch(&mut self) -> (String, UnboundedSender<String>) {
+        soon("a watch", self.watches.recv()).await.expect("a platform")
+    }
+
+    /// The next request with notices: ids and states, and how it was answered.
+    pub async fn report(&mut self) -> (Vec<(String, String)>, u16) {
+        let (notices, status) = soon("a notice", self.reports.recv()).await.expect("a platform");
+        let text = |v: &Value, key: &str| v[key].as_str().unwrap_or_default().to_owned();
+        (notices.iter().map(|n| (text(n, "id"), text(n, "status"))).collect(), status)
+    }
+
+    pub fn nothing_reported(&mut self) -> bool {
+        self.reports.try_recv().is_err()
+    }
+}
+
+/// Serves each connection by `answer`; `None` breaks it off.
+fn serve<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Option<Reply>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let answer = answer(request);
+                    async move { answer.await.ok_or("broken off") }
+                });
+                let server = hyper::server::conn::http1::Builder::new();
+                let _ = server.serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    });
+}
+
+// ---- Receivers -------------------------------------------------------------------------------------------
+
+/// A call as its receiver had it.
+#[derive(Debug)]
+pub struct Call {
+    pub txn: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub at: Instant,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    /// A status, with a header.
+    Say(u16, Option<(&'static str, &'static str)>),
+    /// A 200 after which the connection closes without having said so.
+    SayAndClose,
+    /// No answer, for good.
+    Hang,
+    /// The connection ends without an answer.
+    Break,
+}
+
+/// A receiver that does what its script says, and then answers 200.
+pub struct Receiver {
+    pub addr: SocketAddr,
+    pub calls: UnboundedReceiver<Call>,
+    script: Arc<Mutex<VecDeque<Act>>>,
+}
+
+impl Receiver {
+    pub async fn start(acts: &[Act]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (call_to, calls) = unbounded_channel();
+        let script = Arc::new(Mutex::new(VecDeque::from(acts.to_vec())));
+        let acts = script.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (call_to, acts) = (call_to.clone(), acts.clone());
+                tokio::spawn(async move {
+                    let close = Arc::new(tokio::sync::Notify::new());
+                    let closing = close.clone();
+                    let service = service_fn(move |request: Request<Incoming>| {
+                        let (call_to, acts, closing) = (call_to.clone(), acts.clone(), closing.clone());
+                        async move {
+                            let (head, body) = request.into_parts();
+                            let body = body.collect().await.map_err(|_| "cut short")?.to_bytes();
+                            let txn = head.headers.get("x-txn").and_then(|v| v.to_str().ok());
+                            let act = acts.lock().expect("a script").pop_front();
+                            let txn = txn.unwrap_or_default().to_owned();
+                            let call = Call { txn, headers: head.headers, body, at: Instant::now() };
+                            let _ = call_to.send(call);
+                            match act.unwrap_or(Act::Say(200, None)) {
+                                Act::Say(status, header) => {
+                                    let mut reply = reply(status);
+                                    if let Some((name, value)) = header {
+                                        reply.headers_mut().insert(name, value.parse().expect("a value"));
+                                    }
+                                    Ok(reply)
+                                }
+                                Act::SayAndClose => {
+                                    closing.notify_one();
+                                    Ok(reply(200))
+                                }
+                                Act::Hang => std::future::pending().await,
+                                Act::Break => Err("broken off"),
+                            }
+                        }
+                    });
+                    let server = hyper::server::conn::http1::Builder::new();
+                    let mut serving = std::pin::pin!(server.serve_connection(TokioIo::new(stream), service));
+                    tokio::select! {
+                        _ = serving.as_mut() => {}
+                        () = async {
+                            close.notified().await;
+                            tokio::task::yield_now().await;
+                            tokio::time::sleep(Duration::from_millis(5)).await;
+                        } => {}
+                    }
+                });
+            }
+        });
+        Self { addr, calls, script }
+    }
+
+    /// What comes after the acts that are left.
+    pub fn then(&self, acts: &[Act]) {
+        self.script.lock().expect("a script").extend(acts);
+    }
+
+    pub async fn call(&mut self) -> Call {
+        soon("a call", self.calls.recv()).await.expect("a receiver")
+    }
+
+    pub fn nothing_called(&mut self) -> bool {
+        self.calls.try_recv().is_err()
+    }
+}
+
+// ---- The sender ------------------------------------------------------------------------------------------
+
+/// An entry of the list.
+pub fn member(id: &str, addr: SocketAddr, cell: u16, phase: &str) -> Value {
+    json!({"id": id, "host_port": addr.to_string(), "locality": "a", "flavor": "shared", "cell": cell,
+           "phase": phase, "size": 1000.0, "up_since_ms": 0})
+}
+
+pub fn list(revision: u64, complete: bool, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": complete, "members": members})
+}
+
+/// A configuration with the classes `safe`, `keyed` and `once`, and a deadline for each of them.
+pub fn config(platform: SocketAddr, members: &[Value], deadline_ms: f64) -> Value {
+    let lane = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "group": "zone", "window": 15000.0, "credit": 1.0,
+               "deadline": deadline_ms, "target": deadline_ms / 2.0, "late_worth": 0.3})
+    };
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": platform.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 128, "disk_mb": 3},
+        "known": list(7, true, members),
+        "settings": {
+            "az": 0, "azs": ["a", "b"], "kinds": ["shared"], "peers_total": 1, "tick": 5.0, "weights": "nominal",
+            "lanes": [lane("safe", "free"), lane("keyed", "guarded"), lane("once", "single_shot")],
+            "projects": [{"name": "acme", "fraction": 1.0, "quota_per_s": 1000.0}],
+            "extra": {"bundle_max": [1], "kind_apart": [false], "calls_out": 16},
+            "limits": {"connect_timeout": 500.0, "idle_close": 15000.0, "max_attempts": 4, "most_held": 100,
+                       "max_retry_after": 3000.0, "retry_after": true},
+            "rules": {"cold_from": 0.2, "fall_multiple": 2.5, "tip_after": 3000.0, "warm_within": 9000.0}}})
+}
+
+/// The built program, killed when dropped.
+pub struct Program {
+    pub addr: SocketAddr,
+    pub child: Child,
+    log: Lines<BufReader<ChildStderr>>,
+}
+
+pub fn spawn(config: &Value, state: &Path) -> Child {
+    let path = state.with_extension("json");
+    std::fs::write(&path, config.to_string()).expect("a configuration file");
+    Command::new(env!("CARGO_BIN_EXE_rudderspindle"))
+        .env("RELAY_CONFIG", path)
+        .env("RELAY_STATE", state)
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program starts")
+}
+
+impl Program {
+    pub async fn start(config: &Value, state: &Path) -> Self {
+        let mut child = spawn(config, state);
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let addr = loop {
+            let line = soon("the address", log.next_line()).await.expect("a log").expect("it goes on");
+            if let Some(addr) = line.strip_prefix("listening on ") {
+                break addr.parse().expect("an address");
+            }
+        };
+        Self { addr, child, log }
+    }
+
+    /// The next line of the log that holds `text`.
+    pub async fn says(&mut self, text: &str) {
+        let found = async {
+            while let Ok(Some(line)) = self.log.next_line().await {
+                if line.contains(text) {
+                    return true;
+                }
+            }
+            false
+        };
+        assert!(soon(text, found).await, "the log ended without {text:?}");
+    }
+
+    pub async fn kill(mut self) {
+        self.child.kill().await.expect("it can be killed");
+    }
+
+    pub async fn terminate(&self) {
+        let pid = self.child.id().expect("it runs").to_string();
+        let sent = Command::new("kill").args(["-TERM", &pid]).status().await.expect("kill runs");
+        assert!(sent.success());
+    }
+
+    pub async fn exit(&mut self) -> ExitStatus {
+        soon("the end", self.child.wait()).await.expect("a status")
+    }
+
+    /// Hands a message for destination 7 in, as a client of its own.
+    pub async fn hand_in(&self, class: &str, txn: &str, body: Bytes) -> Response<Incoming> {
+        self.hand_in_within(class, txn, body, "60").await
+    }
+
+    pub async fn hand_in_within(
+        &self,
+        class: &str,
+        txn: &str,
+        body: Bytes,
+        left: &str,
+    ) -> Response<Incoming> {
+        let request = Request::post(format!("/{class}"))
+            .header("x-txn", txn)
+            .header("x-org", "acme")
+            .header("x-remaining", left)
+            .header("x-route-to", "dest=7")
+            .header("idempotency-key", format!("key-{txn}"));
+        self.request(request.body(Full::new(body)).expect("a request")).await.expect("an answer")
+    }
+
+    pub async fn request(&self, mut request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        let stream = TcpStream::connect(self.addr).await.expect("a connection");
+        request.headers_mut().insert("host", "app.svc".parse().expect("a value"));
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        soon("an answer", sender.send_request(request)).await
+    }
+}
+
+/// A folder that outlasts programs.
+pub fn lasting() -> (TempDir, std::path::PathBuf) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let state = folder.path().join("state");
+    std::fs::create_dir(&state).expect("a folder");
+    (folder, state)
+}
+
+/// The bytes of all files in the folder, each in whole blocks.
+pub fn disk_use(state: &Path) -> u64 {
+    let files = std::fs::read_dir(state).expect("a folder");
+    // A segment may be removed while this looks.
+    files.filter_map(|f| f.ok()?.metadata().ok()).map(|m| m.len().next_multiple_of(512)).sum()
+}
