Start with the fetched list; keep ends when a batch cannot be written

Messages taken up again could go to a receiver already told to drain. The start now asks discovery for the whole list once (250 ms at most). The new test fails without it: r1 gets the message. - A batch that could not be written lost the ends of earlier messages with it, which a restart would then have sent again; and a segment that could not be begun failed a batch that was already written. - A watch counts as dead after 3 s without a line (5 s before: with the 1 s of a reconnect that is past the 6 s after which news counts as told). The answer's head must come within 1 s. - The log no longer panics when nobody reads it.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,14 @@
 //! One real sender: reads its configuration, wires the parts together and heeds signals.
 #![forbid(unsafe_code)]
 
+/// A line for the log. That nobody reads it any more is no reason to fail.
+macro_rules! log {
+    ($($line:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stderr(), $($line)*);
+    }};
+}
+
 mod net;
 
 use std::net::SocketAddr;
@@ -76,7 +84,7 @@
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("rudderspindle: {error}");
+            log!("rudderspindle: {error}");
             ExitCode::FAILURE
         }
     }
@@ -115,7 +123,6 @@
     let reports = Rc::new(Reports::default());
     let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_default();
     let known = config.known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
-    let revision = known.revision;
     let parts = Parts {
         settings: settings.clone(),
         names: names.clone(),
@@ -126,10 +133,12 @@
         inputs,
     };
     // What the journal holds is taken up before the first client is heard.
-    let host = Host::new(parts, known)?;
+    let fetched = discovery::fetch(config.discovery).await.filter(|list| list.revision >= known.revision);
+    let revision = fetched.as_ref().map_or(known.revision, |list| list.revision);
+    let host = Host::new(parts, &known, fetched.as_ref())?;
     let addr = config.listen;
     let listener = TcpListener::bind(addr).await.map_err(|error| StartError::Listen { addr, error })?;
-    eprintln!("listening on {}", listener.local_addr()?);
+    log!("listening on {}", listener.local_addr()?);
     spawn_local(discovery::watch(config.discovery, revision, to_host.clone()));
     spawn_local({
         let to_host = to_host.clone();
@@ -140,7 +149,7 @@
     spawn_local(inbound.run(listener));
     spawn_local(async move {
         terminate.recv().await;
-        eprintln!("stopping");
+        log!("stopping");
         stop.send_replace(true);
         let _ = to_host.send(Input::Stop).await;
         // Clients' connections watch it until the end.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
-use hyper::{Request, StatusCode, header};
+use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
@@ -16,8 +17,11 @@
 use super::host::Input;
 
 /// An empty line comes every 2 s: a watch that says nothing for so long is dead.
-const SILENCE: Duration = Duration::from_secs(5);
-const CONNECT: Duration = Duration::from_secs(1);
+const SILENCE: Duration = Duration::from_secs(3);
+/// The agent answers at once: an answer that has not begun by then will not come.
+const ANSWER: Duration = Duration::from_secs(1);
+/// For so long a start waits for the list: a silent discovery must not hold it up.
+const FETCH: Duration = Duration::from_millis(250);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// A longer line is no list of ours.
@@ -67,6 +71,40 @@
     Unreadable(#[from] serde_json::Error),
 }
 
+/// The whole list as the agent has it, if it answers.
+pub async fn fetch(addr: SocketAddr) -> Option<List> {
+    let list = async {
+        let (response, _connection) = get(addr, "/api/targets").await?;
+        let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
+        let list: List = serde_json::from_slice(&body.map_err(|_| WatchError::LongLine)?.to_bytes())?;
+        Ok::<List, WatchError>(list)
+    };
+    match timeout(FETCH, list).await.unwrap_or(Err(WatchError::Silent)) {
+        Ok(list) => Some(list).filter(|list| list.complete),
+        Err(error) => {
+            log!("discovery: {error}; starting with the list as last known");
+            None
+        }
+    }
+}
+
+/// A request on a connection of its own, which ends when the task is dropped.
+async fn get(addr: SocketAddr, path: &str) -> Result<(Response<Incoming>, Driver), WatchError> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut driver = Driver::new();
+    driver.spawn_local(connection);
+    let request = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await?;
+    if response.status() != StatusCode::OK {
+        return Err(WatchError::Status(response.status()));
+    }
+    Ok((response, driver))
+}
+
+type Driver = tokio::task::JoinSet<hyper::Result<()>>;
+
 /// Watches for good, from `revision` on.
 pub async fn watch(addr: SocketAddr, mut revision: u64, host: mpsc::Sender<Input>) {
     let mut pause = FIRST_PAUSE;
@@ -79,7 +117,7 @@
         }
         if heard {
             pause = FIRST_PAUSE;
-            eprintln!("discovery: {error}; watching again");
+            log!("discovery: {error}; watching again");
         }
         sleep(pause).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
@@ -93,18 +131,10 @@
     heard: &mut bool,
     host: &mpsc::Sender<Input>,
 ) -> Result<(), WatchError> {
-    let stream = timeout(CONNECT, TcpStream::connect(addr)).await.map_err(|_| WatchError::Silent)??;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    // The connection lives as long as this session does.
-    let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn_local(connection);
     let path = format!("/api/targets?watch=1&from={revision}");
-    let request = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
-    if response.status() != StatusCode::OK {
-        return Err(WatchError::Status(response.status()));
-    }
+    // The connection lives as long as this session does.
+    let (response, _connection) =
+        timeout(ANSWER, get(addr, &path)).await.map_err(|_| WatchError::Silent)??;
     let mut body = response.into_body();
     let mut buffer: Vec<u8> = Vec::new();
     loop {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -111,12 +111,12 @@
 }
 
 impl Host {
-    /// A host that has taken in the list as last known and what its journal holds.
+    /// A host that has taken in the list, as last known and as fetched, and what its journal holds.
     ///
     /// # Errors
     ///
     /// [`SettingsError`] if the settings cannot work.
-    pub fn new(parts: Parts, known: List) -> Result<Self, SettingsError> {
+    pub fn new(parts: Parts, known: &List, fetched: Option<&List>) -> Result<Self, SettingsError> {
         let Parts { settings, names, seed, store, outbound, reports, inputs } = parts;
         let now = Instant::now();
         let mut host = Self {
@@ -142,8 +142,14 @@
             deferred: Vec::new(),
             carried: Vec::new(),
         };
-        let entries = host.list(&known);
+        let entries = host.list(known);
         host.carried.push(Event::List(ListChange::Cached(entries)));
+        // The list as last known may be older than what was told before a restart: nothing that the journal
+        // holds may go to a receiver that has been told to drain since.
+        if let Some(list) = fetched {
+            let entries = host.list(list);
+            host.carried.push(Event::List(ListChange::Full(entries)));
+        }
         host.recover(now);
         host.batch(Vec::new());
         Ok(host)
@@ -285,7 +291,7 @@
             }
         }
         if let Err(error) = self.store.commit() {
-            eprintln!("journal: a batch could not be written: {error}");
+            log!("journal: a batch could not be written: {error}");
             for (id, answer) in taken.drain(..) {
                 if let Some(held) = self.release(id) {
                     self.store.forget(&held.txn);
@@ -458,13 +464,13 @@
         let wall = store::wall_ms();
         let messages: Vec<store::Message> = self.store.open_messages().cloned().collect();
         if !messages.is_empty() {
-            eprintln!("journal: {} messages taken up again", messages.len());
+            log!("journal: {} messages taken up again", messages.len());
         }
         for m in messages {
             let class = self.names.classes.iter().position(|name| **name == *m.class);
             let tenant = self.names.tenants.iter().position(|name| **name == *m.tenant);
             let Some(class) = class else {
-                eprintln!("journal: message {} is of class {}, which is no more: given up", m.txn, m.class);
+                log!("journal: message {} is of class {}, which is no more: given up", m.txn, m.class);
                 self.store.end(&m.txn, Some(Status::Undeliverable));
                 self.reports.push(Notice { txn: m.txn, status: Status::Undeliverable });
                 continue;
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -78,7 +78,7 @@
                 Err(error) => {
                     connection = None;
                     if patience == FIRST_PATIENCE {
-                        eprintln!("reports: {} notices not taken: {error}; trying again", batch.len());
+                        log!("reports: {} notices not taken: {error}; trying again", batch.len());
                     }
                     if matches!(error, ReportError::Status(_)) {
                         // One that can't be read must not hold up the others: one at a time, in turn.
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -119,7 +119,10 @@
     /// Oldest first; the last one is written to.
     segments: VecDeque<Segment>,
     file: File,
-    batch: Vec<u8>,
+    /// The batch: what has come of messages, and then what is taken on and sent, which has not happened
+    /// unless it is written.
+    facts: Vec<u8>,
+    starts: Vec<u8>,
     entries: HashMap<Txn, Entry>,
     /// Room that all entries need.
     live: u64,
@@ -143,7 +146,7 @@
             let bytes = fs::read(&path)?;
             let end = replay(&bytes, number, &mut entries);
             if end < bytes.len() {
-                eprintln!("journal: segment {number} ends in {} torn bytes: cut", bytes.len() - end);
+                log!("journal: segment {number} ends in {} torn bytes: cut", bytes.len() - end);
                 OpenOptions::new().write(true).open(&path)?.set_len(end as u64)?;
             }
             segments.push_back(Segment { number, bytes: end as u64 });
@@ -153,7 +156,8 @@
         segments.push_back(Segment { number, bytes: 0 });
         let live = entries.iter().map(|(txn, entry)| entry.room(txn)).sum();
         let folder = folder.to_owned();
-        let mut store = Self { folder, budget, segments, file, batch: Vec::new(), entries, live };
+        let mut store =
+            Self { folder, budget, segments, file, facts: Vec::new(), starts: Vec::new(), entries, live };
         store.make_room()?;
         Ok(store)
     }
@@ -185,7 +189,7 @@
     }
 
     pub fn take(&mut self, message: Message) {
-        put_taken(&mut self.batch, &message);
+        put_taken(&mut self.starts, &message);
         self.live += message.room();
         let (txn, segment) = (message.txn.clone(), self.current());
         self.entries.insert(txn, Entry { segment, state: State::Open(message) });
@@ -194,7 +198,7 @@
     /// An attempt that is about to go out.
     pub fn attempt(&mut self, txn: &Txn, ran: Ran) {
         let Some(message) = open_mut(&mut self.entries, txn) else { return };
-        put(&mut self.batch, ATTEMPT, |p| {
+        put(&mut self.starts, ATTEMPT, |p| {
             put_text(p, txn);
             p.extend(message.attempts.to_le_bytes());
             put_ran(p, Some(&ran));
@@ -206,7 +210,7 @@
     /// The attempt that was out has ended.
     pub fn outcome(&mut self, txn: &Txn, may_have_run: bool) {
         let Some(message) = open_mut(&mut self.entries, txn) else { return };
-        put(&mut self.batch, OUTCOME, |p| {
+        put(&mut self.facts, OUTCOME, |p| {
             put_text(p, txn);
             p.push(u8::from(may_have_run));
         });
@@ -217,7 +221,7 @@
     pub fn end(&mut self, txn: &Txn, owed: Option<Status>) {
         let Some(entry) = self.entries.remove(txn) else { return };
         self.live -= entry.room(txn);
-        put_ended(&mut self.batch, txn, owed);
+        put_ended(&mut self.facts, txn, owed);
         if let Some(status) = owed {
             let entry = Entry { segment: self.current(), state: State::Owed(status) };
             self.live += entry.room(txn);
@@ -229,18 +233,25 @@
     pub fn settled(&mut self, txn: &Txn) {
         let Some(entry) = self.entries.remove(txn) else { return };
         self.live -= entry.room(txn);
-        put(&mut self.batch, SETTLED, |p| put_text(p, txn));
+        put(&mut self.facts, SETTLED, |p| put_text(p, txn));
     }
 
-    /// Writes the batch. After an error nothing of it is in the journal.
+    /// Writes the batch. After an error nothing was taken on or sent; what has come of messages is kept for
+    /// the next batch.
     pub fn commit(&mut self) -> io::Result<()> {
-        if self.batch.is_empty() {
+        if self.facts.is_empty() && self.starts.is_empty() {
             return Ok(());
         }
-        let batch = std::mem::take(&mut self.batch);
-        self.append(&batch)?;
+        let facts = self.facts.len();
+        let mut batch = std::mem::take(&mut self.facts);
+        batch.append(&mut self.starts);
+        if let Err(error) = self.append(&batch) {
+            batch.truncate(facts);
+            self.facts = batch;
+            return Err(error);
+        }
         if let Err(error) = self.make_room() {
-            eprintln!("journal: no room could be made: {error}");
+            log!("journal: no room could be made: {error}");
         }
         Ok(())
     }
@@ -273,8 +284,14 @@
         segment.bytes += bytes.len() as u64;
         if segment.bytes >= SEGMENT {
             let number = segment.number + 1;
-            self.file = create(&self.folder, number)?;
-            self.segments.push_back(Segment { number, bytes: 0 });
+            match create(&self.folder, number) {
+                Ok(file) => {
+                    self.file = file;
+                    self.segments.push_back(Segment { number, bytes: 0 });
+                }
+                // What was to be written is written: this segment just grows longer.
+                Err(error) => log!("journal: no new segment could be begun: {error}"),
+            }
         }
         Ok(())
     }
@@ -403,14 +420,14 @@
         let (Some(length), Some(sum)) = (fields.u32(), fields.u32()) else { break };
         let length = length as usize;
         if length > MAX_PAYLOAD {
-            eprintln!("journal: segment {segment} is damaged at byte {at}: the rest of it is lost");
+            log!("journal: segment {segment} is damaged at byte {at}: the rest of it is lost");
             break;
         }
         let Some(payload) = rest.get(..length) else { break };
         if crc32fast::hash(payload) != sum {
-            eprintln!("journal: segment {segment} has a damaged record at byte {at}: skipped");
+            log!("journal: segment {segment} has a damaged record at byte {at}: skipped");
         } else if apply(payload, segment, entries).is_none() {
-            eprintln!("journal: segment {segment} has an unreadable record at byte {at}: skipped");
+            log!("journal: segment {segment} has an unreadable record at byte {at}: skipped");
         }
         at += FRAME + length;
     }
@@ -514,3 +531,102 @@
         Some(Some(Ran { at: self.u64()?, receiver: self.text()?, zone: self.text()? }))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const BUDGET: u64 = 3_000_000;
+
+    fn message(txn: &str, size: usize) -> Message {
+        Message {
+            txn: txn.into(),
+            class: "safe".into(),
+            tenant: "acme".into(),
+            destination: 7,
+            key: Some(Bytes::from_static(b"key")),
+            deadline: 5,
+            body: Bytes::from(vec![b'x'; size]),
+            attempts: 0,
+            may_have_run: None,
+            out: None,
+        }
+    }
+
+    fn ran(at: u64) -> Ran {
+        Ran { at, receiver: "r1".into(), zone: "a".into() }
+    }
+
+    /// What the journal says, in an order of its own.
+    fn state(store: &Store) -> (Vec<Message>, Vec<Txn>) {
+        let mut open: Vec<Message> = store.open_messages().cloned().collect();
+        open.sort_by(|a, b| a.txn.cmp(&b.txn));
+        let mut owed: Vec<Txn> = store.owed().map(|n| n.txn).collect();
+        owed.sort();
+        (open, owed)
+    }
+
+    #[test]
+    fn a_kill_while_room_is_made_loses_nothing_and_revives_nothing() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut store = Store::open(folder.path(), BUDGET).expect("a journal");
+        store.take(message("kept", 1_000));
+        store.attempt(&"kept".into(), ran(1));
+        store.take(message("owed", 10));
+        store.take(message("over", 10));
+        store.commit().expect("written");
+        store.outcome(&"kept".into(), true);
+        store.attempt(&"kept".into(), ran(2));
+        store.end(&"owed".into(), Some(Status::Deferred(Some(70))));
+        store.end(&"over".into(), None);
+        store.commit().expect("written");
+        let mut removed = Vec::new();
+        for n in 0..100 {
+            // What a kill before the removal of the oldest segments would have left there.
+            let before: Vec<(PathBuf, Vec<u8>)> = (store.segments.iter())
+                .map(|s| path(folder.path(), s.number))
+                .map(|p| (p.clone(), fs::read(p).expect("readable")))
+                .collect();
+            let txn: Txn = format!("m{n}").into();
+            store.take(message(&txn, 60_000));
+            store.commit().expect("written");
+            store.end(&txn, None);
+            store.commit().expect("written");
+            assert!(store.total() <= BUDGET);
+            removed.extend(before.into_iter().filter(|(p, _)| !p.exists()));
+        }
+        assert!(!removed.is_empty(), "nothing was ever removed");
+        let expected = state(&store);
+        assert_eq!(expected.0[0].attempts, 2);
+        assert_eq!(expected.0[0].may_have_run, Some(ran(1)));
+        assert_eq!(expected.0[0].out, Some(ran(2)));
+        assert_eq!(expected.1, ["owed".into()] as [Txn; 1]);
+        drop(store);
+        let again = Store::open(folder.path(), BUDGET).expect("a journal");
+        assert_eq!(state(&again), expected);
+        drop(again);
+        for (path, bytes) in &removed[removed.len() - 1..] {
+            fs::write(path, bytes).expect("writable");
+        }
+        let again = Store::open(folder.path(), BUDGET).expect("a journal");
+        assert_eq!(state(&again), expected);
+    }
+
+    #[test]
+    fn a_batch_that_cannot_be_written_takes_nothing_on_and_forgets_no_end() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut store = Store::open(folder.path(), BUDGET).expect("a journal");
+        store.take(message("m1", 10));
+        store.commit().expect("written");
+        store.budget = 0;
+        store.end(&"m1".into(), Some(Status::Undeliverable));
+        store.take(message("m2", 10));
+        assert!(store.commit().is_err());
+        store.forget(&"m2".into());
+        store.budget = BUDGET;
+        store.commit().expect("written");
+        drop(store);
+        let again = Store::open(folder.path(), BUDGET).expect("a journal");
+        assert_eq!(state(&again), (vec![], vec!["m1".into()]));
+    }
+}
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -43,6 +43,8 @@
     /// Each request with notices, and how it was answered.
     pub reports: UnboundedReceiver<(Vec<Value>, u16)>,
     answers: Arc<Mutex<VecDeque<u16>>>,
+    /// The whole list, for those that ask for it.
+    pub list: Arc<Mutex<Option<Value>>>,
 }
 
 struct LinesBody(UnboundedReceiver<String>);
@@ -74,8 +76,11 @@
         let (report_to, reports) = unbounded_channel();
         let answers = Arc::new(Mutex::new(VecDeque::new()));
         let script = answers.clone();
+        let list = Arc::new(Mutex::new(None::<Value>));
+        let lists = list.clone();
         serve(listener, move |request| {
-            let (watch_to, report_to, script) = (watch_to.clone(), report_to.clone(), script.clone());
+            let (watch_to, report_to) = (watch_to.clone(), report_to.clone());
+            let (script, list) = (script.clone(), lists.clone());
             async move {
                 if request.uri().path() == "/reports" {
                     let body = request.into_body().collect().await.ok()?.to_bytes();
@@ -85,12 +90,17 @@
                     report_to.send((notices, status)).ok()?;
                     return Some(reply(status));
                 }
+                if request.uri().query().is_none() {
+                    let list = list.lock().expect("a list").clone();
+                    let text = list.map_or(String::new(), |list| list.to_string());
+                    return Some(Response::new(Full::from(text).boxed()));
+                }
                 let (lines, body) = unbounded_channel();
                 watch_to.send((request.uri().query().unwrap_or_default().to_owned(), lines)).ok()?;
                 Some(Response::new(LinesBody(body).boxed()))
             }
         });
-        Self { addr, watches, reports, answers }
+        Self { addr, watches, reports, answers, list }
     }
 
     /// How the next requests with notices are answered; after that 204.
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -297,6 +297,21 @@
     assert!(first.nothing_called() && second.nothing_called());
 }
 
+/// What a restart finds in its configuration may be older than what the sender was told before it.
+#[tokio::test]
+async fn what_a_restart_takes_up_again_does_not_go_where_the_newest_list_says_drain() {
+    let (platform, mut first, program, folder, config) = set_up(&[Act::Hang], LONG).await;
+    let mut second = Receiver::start(&[]).await;
+    program.hand_in("safe", "m1", body("text")).await;
+    first.call().await;
+    program.kill().await;
+    let now = [member("r1", first.addr, 7, "DRAINING"), member("r2", second.addr, 7, "SERVING")];
+    *platform.list.lock().expect("a list") = Some(list(8, true, &now));
+    let _program = Program::start(&config, &folder.1).await;
+    assert_eq!(second.call().await.txn, "m1");
+    assert!(first.nothing_called());
+}
+
 #[tokio::test]
 async fn a_notice_is_repeated_until_it_is_acknowledged_and_then_forgotten() {
     let (mut platform, mut receiver, program, folder, config) = set_up(&[Act::Break], LONG).await;
