Tests of calls at the moment of sending, of probes and of kept connections' age

A wait or a drain that is told between a decision and the call's first byte stops the call; a probe's answer reaches the host; a connection that the receiver may be about to close is not used. No change to the sender.

--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -368,3 +368,103 @@
     let wait = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|w| w.is_finite());
     wait.unwrap_or(0.0).clamp(0.0, LONGEST)
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    use super::*;
+
+    const ROUTE: RouteId = RouteId(1);
+
+    fn route(addr: SocketAddr, listing: Listing) -> Route {
+        let (receiver, zone) = ("r1".into(), "a".into());
+        Route { addr: Some(addr), receiver, zone, destination: DestinationId(7), apart: false, listing }
+    }
+
+    async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
+        let json = serde_json::json!({
+            "extra": {"calls_out": 4}, "kinds": ["k"], "lanes": [{"name": "safe", "deadline": 9000.0}],
+            "limits": {"max_attempts": 4, "most_held": 50, "connect_timeout": 5000.0, "idle_close": 15000.0}});
+        let settings = rudderspindle::settings::read(&json).expect("settings");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (to_host, inputs) = mpsc::channel(16);
+        let outbound = Rc::new(Outbound::new(&settings, 8, to_host));
+        outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
+        (outbound, listener, inputs)
+    }
+
+    fn call() -> Call {
+        let (id, until) = (MessageId(3), Instant::now() + Duration::from_secs(5));
+        let (txn, body) = ("m1".into(), Bytes::from_static(b"text"));
+        Call { id, attempt: 0, route: ROUTE, txn, key: None, body, until }
+    }
+
+    async fn next(inputs: &mut mpsc::Receiver<Input>) -> Input {
+        timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input")
+    }
+
+    /// The decision was right when it was made; a wait or a drain told before the call's first byte counts.
+    #[tokio::test]
+    async fn a_wait_or_a_drain_told_after_the_decision_stops_the_call() {
+        let test = async {
+            for drain in [false, true] {
+                let (outbound, listener, mut inputs) = set_up().await;
+                outbound.start(call());
+                if drain {
+                    let addr = listener.local_addr().expect("an address");
+                    outbound.list(ROUTE, route(addr, Listing::Draining));
+                } else {
+                    outbound.wait(ROUTE, 10_000.0);
+                }
+                let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+                assert_eq!(report, Outcome::Moot.into());
+            }
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    #[tokio::test]
+    async fn a_probe_tells_what_it_found() {
+        let test = async {
+            for (answer, outcome) in [("200 OK", Outcome::Ok), ("503 No", Outcome::Full)] {
+                let (outbound, listener, mut inputs) = set_up().await;
+                outbound.probe(ROUTE);
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut head = [0; 18];
+                stream.read_exact(&mut head).await.expect("a request");
+                assert_eq!(&head, b"GET /-/healthy HTT");
+                let answer = format!("HTTP/1.1 {answer}\r\nContent-Length: 0\r\n\r\n");
+                stream.write_all(answer.as_bytes()).await.expect("writable");
+                let Input::Probed { outcome: found, .. } = next(&mut inputs).await else {
+                    panic!("no probe")
+                };
+                assert_eq!(found, outcome);
+            }
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    #[tokio::test]
+    async fn a_connection_is_not_used_when_the_receiver_may_be_about_to_close_it() {
+        let test = async {
+            let (outbound, listener, mut inputs) = set_up().await;
+            outbound.start(call());
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buffer = [0; 1024];
+            while !buffer.windows(4).any(|w| w == b"text") {
+                assert!(stream.read(&mut buffer).await.expect("a request") > 0);
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("writable");
+            next(&mut inputs).await;
+            while outbound.idle.borrow().is_empty() {
+                tokio::task::yield_now().await;
+            }
+            let kept = outbound.kept(ROUTE).expect("it is kept");
+            let old = Instant::now() + Duration::from_secs(13);
+            assert!(kept.usable(Instant::now(), outbound.idle_time) && !kept.usable(old, outbound.idle_time));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+}
