One client for requests to the platform

Discovery and notices opened connections and named their errors alike in two places (found by a look for repeated code).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -6,15 +6,13 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
 use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use super::host::Input;
+use super::{Driver, HttpError, connect};
 
 /// An empty line comes every 2 s: a watch that says nothing for so long is dead.
 const SILENCE: Duration = Duration::from_secs(3);
@@ -53,16 +51,8 @@
 
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
-    #[error("no answer in time")]
-    Silent,
-    #[error("{0}")]
-    Connect(#[from] std::io::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("{0}")]
-    Request(#[from] hyper::http::Error),
-    #[error("status {0}")]
-    Status(StatusCode),
+    #[error(transparent)]
+    Http(#[from] HttpError),
     #[error("the watch ended")]
     Ended,
     #[error("a line of over {LONGEST_LINE} bytes")]
@@ -79,7 +69,7 @@
         let list: List = serde_json::from_slice(&body.map_err(|_| WatchError::LongLine)?.to_bytes())?;
         Ok::<List, WatchError>(list)
     };
-    match timeout(FETCH, list).await.unwrap_or(Err(WatchError::Silent)) {
+    match timeout(FETCH, list).await.unwrap_or(Err(HttpError::Silent.into())) {
         Ok(list) => Some(list).filter(|list| list.complete),
         Err(error) => {
             log!("discovery: {error}; starting with the list as last known");
@@ -89,22 +79,16 @@
 }
 
 /// A request on a connection of its own, which ends when the task is dropped.
-async fn get(addr: SocketAddr, path: &str) -> Result<(Response<Incoming>, Driver), WatchError> {
-    let stream = TcpStream::connect(addr).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let mut driver = Driver::new();
-    driver.spawn_local(connection);
+async fn get(addr: SocketAddr, path: &str) -> Result<(Response<Incoming>, Driver), HttpError> {
+    let (mut sender, driver) = connect(addr).await?;
     let request = Request::get(path).header(header::HOST, addr.to_string()).body(Empty::<Bytes>::new())?;
     let response = sender.send_request(request).await?;
     if response.status() != StatusCode::OK {
-        return Err(WatchError::Status(response.status()));
+        return Err(HttpError::Status(response.status()));
     }
     Ok((response, driver))
 }
 
-type Driver = tokio::task::JoinSet<hyper::Result<()>>;
-
 /// Watches for good, from `revision` on.
 pub async fn watch(addr: SocketAddr, mut revision: u64, host: mpsc::Sender<Input>) {
     let mut pause = FIRST_PAUSE;
@@ -134,12 +118,12 @@
     let path = format!("/api/targets?watch=1&from={revision}");
     // The connection lives as long as this session does.
     let (response, _connection) =
-        timeout(ANSWER, get(addr, &path)).await.map_err(|_| WatchError::Silent)??;
+        timeout(ANSWER, get(addr, &path)).await.map_err(|_| HttpError::Silent)??;
     let mut body = response.into_body();
     let mut buffer: Vec<u8> = Vec::new();
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| WatchError::Silent)?;
-        let frame = frame.ok_or(WatchError::Ended)??;
+        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| HttpError::Silent)?;
+        let frame = frame.ok_or(WatchError::Ended)?.map_err(HttpError::from)?;
         let Some(data) = frame.data_ref() else { continue };
         *heard = true;
         buffer.extend_from_slice(data);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,13 +8,20 @@
 pub mod store;
 
 use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use bytes::Bytes;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 /// A message's id, as its client chose it.
 pub type Txn = Rc<str>;
@@ -22,6 +29,36 @@
 /// Bytes that a message's body may hold at most.
 pub const MAX_BODY: usize = 64 * 1024;
 
+/// What can go wrong with a request to the platform.
+#[derive(Debug, thiserror::Error)]
+enum HttpError {
+    #[error("no answer in time")]
+    Silent,
+    #[error("{0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("{0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("status {0}")]
+    Status(StatusCode),
+}
+
+/// Drives a connection to the platform; dropping it closes the connection.
+type Driver = JoinSet<hyper::Result<()>>;
+
+async fn connect<B>(addr: SocketAddr) -> Result<(SendRequest<B>, Driver), HttpError>
+where
+    B: Body<Data = Bytes, Error = Infallible> + 'static,
+{
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let mut driver = Driver::new();
+    driver.spawn_local(connection);
+    Ok((sender, driver))
+}
+
 /// How far a message on a connection has been written.
 #[derive(Debug, Default)]
 struct Meter {
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -7,15 +7,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, StatusCode, header};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
 use super::host::Input;
 use super::store::{Notice, Status};
+use super::{Driver, HttpError, connect};
 
 /// An answer comes at once: a request without one for so long is made again, with more patience.
 const FIRST_PATIENCE: Duration = Duration::from_millis(100);
@@ -30,20 +29,6 @@
     more: Notify,
 }
 
-#[derive(Debug, thiserror::Error)]
-enum ReportError {
-    #[error("no answer in time")]
-    Silent,
-    #[error("{0}")]
-    Connect(#[from] std::io::Error),
-    #[error("{0}")]
-    Http(#[from] hyper::Error),
-    #[error("{0}")]
-    Request(#[from] hyper::http::Error),
-    #[error("status {0}")]
-    Status(StatusCode),
-}
-
 impl Reports {
     pub fn push(&self, notice: Notice) {
         self.queue.borrow_mut().push_back(notice);
@@ -66,7 +51,7 @@
                 continue;
             }
             let sent = timeout(patience, post(addr, &mut connection, &batch)).await;
-            match sent.unwrap_or(Err(ReportError::Silent)) {
+            match sent.unwrap_or(Err(HttpError::Silent)) {
                 Ok(()) => {
                     self.queue.borrow_mut().drain(..batch.len());
                     let settled = batch.into_iter().map(|n| n.txn).collect();
@@ -80,7 +65,7 @@
                     if patience == FIRST_PATIENCE {
                         log!("reports: {} notices not taken: {error}; trying again", batch.len());
                     }
-                    if matches!(error, ReportError::Status(_)) {
+                    if matches!(error, HttpError::Status(_)) {
                         // One that can't be read must not hold up the others: one at a time, in turn.
                         most = 1;
                         self.queue.borrow_mut().rotate_left(1);
@@ -94,19 +79,12 @@
 }
 
 /// The connection that is kept, and the task that drives it.
-type Kept = (SendRequest<Full<Bytes>>, tokio::task::JoinSet<hyper::Result<()>>);
+type Kept = (SendRequest<Full<Bytes>>, Driver);
 
-async fn post(addr: SocketAddr, kept: &mut Option<Kept>, batch: &[Notice]) -> Result<(), ReportError> {
-    let (mut sender, tasks) = match kept.take().filter(|k| !k.0.is_closed()) {
+async fn post(addr: SocketAddr, kept: &mut Option<Kept>, batch: &[Notice]) -> Result<(), HttpError> {
+    let (mut sender, driver) = match kept.take().filter(|k| !k.0.is_closed()) {
         Some(kept) => kept,
-        None => {
-            let stream = TcpStream::connect(addr).await?;
-            stream.set_nodelay(true)?;
-            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-            let mut tasks = tokio::task::JoinSet::new();
-            tasks.spawn_local(connection);
-            (sender, tasks)
-        }
+        None => connect(addr).await?,
     };
     let mut lines = String::new();
     for notice in batch {
@@ -126,9 +104,9 @@
     let response = sender.send_request(request).await?;
     let status = response.status();
     if status != StatusCode::NO_CONTENT {
-        return Err(ReportError::Status(status));
+        return Err(HttpError::Status(status));
     }
     response.into_body().collect().await?;
-    *kept = Some((sender, tasks));
+    *kept = Some((sender, driver));
     Ok(())
 }
