--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -332,7 +332,9 @@
             return None;
         }
         if !self.destinations.contains(&destination) {
-            refused.push((answer, Answer::UnknownDestination));
+            // Before any list has come, nothing can be said of it.
+            let unknown = !self.destinations.is_empty();
+            refused.push((answer, if unknown { Answer::UnknownDestination } else { Answer::Refused(0.0) }));
             return None;
         }
         if let Some(&id) = self.ids.get(&txn) {
@@ -347,6 +349,11 @@
             }
             return None;
         }
+        if self.store.knows(&txn) {
+            // Its notice is still owed: what acknowledges that must not end a new message of the same id.
+            refused.push((answer, Answer::Refused(0.0)));
+            return None;
+        }
         let left = ends_at.saturating_duration_since(now);
         let record = store::Message {
             txn: txn.clone(),
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -178,6 +178,11 @@
         })
     }
 
+    /// Whether an id is still owed its end or a notice.
+    pub fn knows(&self, txn: &Txn) -> bool {
+        self.entries.contains_key(txn)
+    }
+
     /// Whether so much more can be taken on and still be kept for good.
     pub fn has_room(&self, more: u64) -> bool {
         self.live + more <= self.budget.saturating_sub(HEADROOM)
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -348,6 +348,27 @@
     }
 }
 
+/// The acknowledgement of the first one's notice would have ended the second one in the journal.
+#[tokio::test]
+async fn an_id_whose_notice_is_owed_is_not_taken_on_again() {
+    let (mut platform, mut receiver, program, _folder, _) = set_up(&[Act::Break], LONG).await;
+    platform.answer_reports(&[500; 100]);
+    program.hand_in("once", "m1", body("text")).await;
+    receiver.call().await;
+    platform.report().await;
+    assert_eq!(program.hand_in("once", "m1", body("text")).await.status(), 503);
+    assert!(receiver.nothing_called());
+}
+
+/// A start with no list at all must not turn clients away for good.
+#[tokio::test]
+async fn without_any_list_a_message_is_refused_and_not_failed() {
+    let platform = Platform::start().await;
+    let folder = lasting();
+    let program = Program::start(&config(platform.addr, &[], LONG), &folder.1).await;
+    assert_eq!(program.hand_in("safe", "m1", body("text")).await.status(), 503);
+}
+
 #[tokio::test]
 async fn a_notice_comes_in_time_when_nothing_answers() {
     let (mut platform, mut receiver, program, _folder, _) = set_up(&[Act::Hang; 4], LONG).await;
