Refuse classes in order at start; a table test of how answers read

A class in order would have been served without its order, silently: the configuration is now refused with one line. Seen with changed code: a 503 with X-Egress-Full that was read as turned away by the receiver passed all tests before, as both never ran; the table tells them apart.

--- a/src/main.rs
+++ b/src/main.rs
@@ -72,6 +72,8 @@
     Read(#[from] ReadError),
     #[error("settings name {names} classes of message and tell of {classes}")]
     Names { names: usize, classes: usize },
+    #[error("class {0} asks for order, and messages come without a key to keep it by")]
+    Ordered(String),
     #[error("the journal in {path} cannot be used: {error}")]
     Journal { path: PathBuf, error: std::io::Error },
     #[error("cannot listen on {addr}: {error}")]
@@ -103,6 +105,10 @@
         let (names, classes) = (names.classes.len(), settings.classes.len());
         return Err(StartError::Names { names, classes });
     }
+    let mut classes = names.classes.iter().zip(&settings.classes);
+    if let Some((name, _)) = classes.find(|(_, class)| class.ordered) {
+        return Err(StartError::Ordered(name.clone()));
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, run(config, settings, names, &state))
 }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -405,6 +405,46 @@
         timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input")
     }
 
+    /// Answers the call that comes.
+    async fn answer(stream: &mut TcpStream, answer: &str) {
+        let mut buffer = [0; 1024];
+        let mut filled = 0;
+        while !buffer[..filled].ends_with(b"text") {
+            let n = stream.read(&mut buffer[filled..]).await.expect("a request");
+            assert!(n > 0, "the request ends too early");
+            filled += n;
+        }
+        let answer = format!("HTTP/1.1 {answer}\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).await.expect("writable");
+    }
+
+    #[tokio::test]
+    async fn answers_read_as_the_protocol_says() {
+        let report = |outcome, wait, closed| Report { outcome, wait, closed };
+        let cases = [
+            ("200 OK", report(Outcome::Ok, 0.0, true)),
+            ("500 No", report(Outcome::Error, 0.0, false)),
+            ("404 No", report(Outcome::Error, 0.0, false)),
+            ("429 No\r\nX-Backoff-Ms: 250", report(Outcome::Full, 250.0, false)),
+            ("429 No\r\nX-Backoff-Ms: soon", report(Outcome::Full, 0.0, false)),
+            ("503 No", report(Outcome::Full, 0.0, false)),
+            ("503 No\r\nX-Egress-Full: 1", report(Outcome::Moot, 0.0, false)),
+            ("504 No", report(Outcome::Spent, 0.0, false)),
+            ("410 No", report(Outcome::Moot, 0.0, true)),
+        ];
+        let test = async {
+            for (text, expected) in cases {
+                let (outbound, listener, mut inputs) = set_up().await;
+                outbound.start(call());
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                answer(&mut stream, text).await;
+                let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+                assert_eq!(report, expected, "{text}");
+            }
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
     /// The decision was right when it was made; a wait or a drain told before the call's first byte counts.
     #[tokio::test]
     async fn a_wait_or_a_drain_told_after_the_decision_stops_the_call() {
@@ -452,11 +492,7 @@
             let (outbound, listener, mut inputs) = set_up().await;
             outbound.start(call());
             let (mut stream, _) = listener.accept().await.expect("a connection");
-            let mut buffer = [0; 1024];
-            while !buffer.windows(4).any(|w| w == b"text") {
-                assert!(stream.read(&mut buffer).await.expect("a request") > 0);
-            }
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("writable");
+            answer(&mut stream, "200 OK").await;
             next(&mut inputs).await;
             while outbound.idle.borrow().is_empty() {
                 tokio::task::yield_now().await;
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -485,11 +485,14 @@
 async fn a_configuration_that_cannot_work_ends_in_one_line() {
     let (_folder, state) = lasting();
     let good = config("127.0.0.1:1".parse().expect("an address"), &[], LONG);
+    let mut in_order = good["settings"].clone();
+    in_order["lanes"][1]["in_order"] = true.into();
     for (key, value) in [
         ("listen", serde_json::json!("nowhere")),
         ("limits", serde_json::json!({"sockets": 3, "disk_mb": 3})),
         ("settings", serde_json::json!({"lanes": 5})),
         ("settings", serde_json::json!({})),
+        ("settings", in_order),
     ] {
         let mut bad = good.clone();
         bad[key] = value;
