--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -107,20 +107,23 @@
     program.kill().await;
     let journal = std::fs::read_dir(&folder.1).expect("a folder").next().expect("a file").expect("a file");
     let whole = std::fs::read(journal.path()).expect("readable");
-    // The first record's payload is damaged: its sum no longer fits.
+    // The first message's body is damaged: its record's sum no longer fits.
     let mut bytes = whole.clone();
-    bytes[12] ^= 0xff;
+    let at = bytes.windows(4).position(|w| w == b"text").expect("a body");
+    bytes[at] ^= 0xff;
     // And a record of 200 bytes broke off after its frame and some bytes.
     bytes.extend([200, 0, 0, 0, 1, 2, 3, 4, 5, 6]);
     std::fs::write(journal.path(), &bytes).expect("writable");
     let program = Program::start(&config, &folder.1).await;
     assert_eq!(receiver.call().await.txn, "m2");
+    program.hand_in("safe", "m3", body("text")).await;
+    assert_eq!(receiver.call().await.txn, "m3", "a damaged message is not sent");
     assert_eq!(journal.metadata().expect("still there").len(), whole.len() as u64, "the tail is cut");
     program.kill().await;
     // Garbage alone is no reason to fail either.
     std::fs::write(journal.path(), [0xff; 999]).expect("writable");
     let program = Program::start(&config, &folder.1).await;
-    assert_eq!(program.hand_in("safe", "m3", body("text")).await.status(), 202);
+    assert_eq!(program.hand_in("safe", "m4", body("text")).await.status(), 202);
 }
 
 #[tokio::test]
@@ -382,9 +385,13 @@
 
 #[tokio::test]
 async fn sigterm_lets_calls_finish_and_leaves_the_rest_to_the_journal() {
-    let (mut platform, mut receiver, mut program, folder, config) = set_up(&[Act::Hang], LONG).await;
-    program.hand_in("keyed", "m1", body("text")).await;
-    receiver.call().await;
+    // The unsafe one is waited for until its time is up, which is longer than a stop may take.
+    let (mut platform, mut receiver, mut program, folder, config) =
+        set_up(&[Act::Hang, Act::Hang], LONG).await;
+    for (class, txn) in [("keyed", "m1"), ("once", "m0")] {
+        program.hand_in(class, txn, body("text")).await;
+        assert_eq!(receiver.call().await.txn, txn);
+    }
     let told = Instant::now();
     program.terminate().await;
     program.says("stopping").await;
@@ -398,6 +405,7 @@
     assert_eq!(program.exit().await.code(), Some(0));
     assert!(told.elapsed() < Duration::from_millis(3_700), "{:?}", told.elapsed());
     let _program = Program::start(&config, &folder.1).await;
+    assert_eq!(platform.report().await.0, [undeliverable("m0")]);
     assert_eq!(receiver.call().await.txn, "m1");
     assert!(receiver.nothing_called() && platform.nothing_reported());
 }
