Clients cannot shut one another out; SIGHUP moves discovery; no client ends another's message

Host::admit moved hand_in to the last client with an id, and withdraw then ended the message for all (a unit test shows it). hyper's role.rs lets Transfer-Encoding override Content-Length and reads on: a test saw the hidden request delivered.

Now a connection has a deadline for its first and each later request that bytes cannot extend, a newcomer that is silent and then the one longest at rest makes place, a message is owed to every client that took its 202, Transfer-Encoding is a 400, and a watch channel moves discovery and notices. The list fetched at a start counts whatever its revision: those of known may be another address's.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use serde::Deserialize;
-use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use super::host::Input;
 use super::{Driver, HttpError, connect};
@@ -57,20 +57,16 @@
     Ended,
     #[error("a line of over {LONGEST_LINE} bytes")]
     LongLine,
+    #[error("a list that is not whole")]
+    Incomplete,
     #[error("unreadable line: {0}")]
     Unreadable(#[from] serde_json::Error),
 }
 
-/// The whole list as the agent has it, if it answers.
+/// The whole list as the agent has it, if it answers soon enough for a start to wait for it.
 pub async fn fetch(addr: SocketAddr) -> Option<List> {
-    let list = async {
-        let (response, _connection) = get(addr, "/api/targets").await?;
-        let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
-        let list: List = serde_json::from_slice(&body.map_err(|_| WatchError::LongLine)?.to_bytes())?;
-        Ok::<List, WatchError>(list)
-    };
-    match timeout(FETCH, list).await.unwrap_or(Err(HttpError::Silent.into())) {
-        Ok(list) => Some(list).filter(|list| list.complete),
+    match timeout(FETCH, whole_list(addr)).await.unwrap_or(Err(HttpError::Silent.into())) {
+        Ok(list) => Some(list),
         Err(error) => {
             log!("discovery: {error}; starting with the list as last known");
             None
@@ -78,6 +74,13 @@
     }
 }
 
+async fn whole_list(addr: SocketAddr) -> Result<List, WatchError> {
+    let (response, _connection) = get(addr, "/api/targets").await?;
+    let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
+    let list: List = serde_json::from_slice(&body.map_err(|_| WatchError::LongLine)?.to_bytes())?;
+    if list.complete { Ok(list) } else { Err(WatchError::Incomplete) }
+}
+
 /// A request on a connection of its own, which ends when the task is dropped.
 async fn get(addr: SocketAddr, path: &str) -> Result<(Response<Incoming>, Driver), HttpError> {
     let (mut sender, driver) = connect(addr).await?;
@@ -89,33 +92,69 @@
     Ok((response, driver))
 }
 
-/// Watches for good, from `revision` on.
-pub async fn watch(addr: SocketAddr, mut revision: u64, host: mpsc::Sender<Input>) {
+/// Watches for good, at the address that is in force: from `revision` on, or from the whole list on.
+pub async fn watch(
+    mut addr: watch::Receiver<SocketAddr>,
+    mut revision: Option<u64>,
+    host: mpsc::Sender<Input>,
+) {
     let mut pause = FIRST_PAUSE;
     loop {
         let mut heard = false;
-        let Err(error) = session(addr, &mut revision, &mut heard, &host).await else { return };
+        let at = *addr.borrow_and_update();
+        let error = tokio::select! {
+            biased;
+            moved = addr.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+                // The session that has just been dropped was the old address's. Another one's revisions say
+                // nothing about what has changed since ours: only the whole list does.
+                (revision, pause) = (None, FIRST_PAUSE);
+                continue;
+            }
+            end = session(at, &mut revision, &mut heard, &host) => match end {
+                Err(error) => error,
+                Ok(()) => return,
+            },
+        };
         if matches!(error, WatchError::Unreadable(_) | WatchError::LongLine) {
             // A change was missed: only the whole list mends that.
-            revision = 0;
+            revision = None;
         }
         if heard {
             pause = FIRST_PAUSE;
             log!("discovery: {error}; watching again");
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        // A new address is heeded at once.
+        let moved = timeout(pause, addr.changed()).await;
+        if moved.is_ok() {
+            (revision, pause) = (None, FIRST_PAUSE);
+        } else {
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
     }
 }
 
 /// One connection's watch; ends well only when the host is gone.
 async fn session(
     addr: SocketAddr,
-    revision: &mut u64,
+    revision: &mut Option<u64>,
     heard: &mut bool,
     host: &mpsc::Sender<Input>,
 ) -> Result<(), WatchError> {
-    let path = format!("/api/targets?watch=1&from={revision}");
+    let from = match *revision {
+        Some(revision) => revision,
+        None => {
+            let list = timeout(ANSWER, whole_list(addr)).await.map_err(|_| HttpError::Silent)??;
+            let from = *revision.insert(list.revision);
+            if host.send(Input::List(list)).await.is_err() {
+                return Ok(());
+            }
+            from
+        }
+    };
+    let path = format!("/api/targets?watch=1&from={from}");
     // The connection lives as long as this session does.
     let (response, _connection) =
         timeout(ANSWER, get(addr, &path)).await.map_err(|_| HttpError::Silent)??;
@@ -133,7 +172,7 @@
                 continue;
             }
             let list: List = serde_json::from_slice(&line)?;
-            *revision = list.revision;
+            *revision = Some(list.revision);
             if host.send(Input::List(list)).await.is_err() {
                 return Ok(());
             }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -30,6 +30,10 @@
 const STOP_LOOK: Duration = Duration::from_millis(20);
 /// Longest time without a batch: nothing is due, so it only bounds the sleep.
 const IDLE: Duration = Duration::from_secs(3600);
+/// Clients that may hand in one message at the same time; more are refused.
+const MOST_HAND_INS: usize = 4;
+/// Stands for clients that an earlier process answered: they are heard for good.
+const EARLIER_HAND_IN: u64 = u64::MAX;
 /// Inputs of one batch at most.
 const MOST_INPUTS: usize = 4096;
 
@@ -59,8 +63,9 @@
 #[derive(Debug)]
 struct Held {
     txn: Txn,
-    /// The last hand-in that it was taken on by.
-    hand_in: u64,
+    /// The hand-ins that it was taken on by, less those whose clients went unheard. While one is left, its
+    /// client may have been told that the message is taken on: nothing may withdraw it.
+    hand_ins: Vec<u64>,
     key: Option<Bytes>,
     body: Bytes,
     ends_at: Instant,
@@ -338,14 +343,16 @@
             return None;
         }
         if let Some(&id) = self.ids.get(&txn) {
-            // Handed in twice, taken on once; the later client is the one that waits to hear it.
-            if fresh.iter().any(|f| f.id == id) {
-                refused.push((answer, Answer::Refused(0.0)));
-            } else if let Some(held) = self.held.get_mut(&id) {
-                self.hand_ins.remove(&held.hand_in);
-                held.hand_in = number;
-                self.hand_ins.insert(number, id);
-                refused.push((answer, Answer::Accepted));
+            // Handed in twice, taken on once, and owed to each client that hears so: to forget the earlier one
+            // would let anybody who knows an id end its message by going away.
+            let held = self.held.get_mut(&id).filter(|held| held.hand_ins.len() < MOST_HAND_INS);
+            match held.filter(|_| fresh.iter().all(|f| f.id != id)) {
+                Some(held) => {
+                    held.hand_ins.push(number);
+                    self.hand_ins.insert(number, id);
+                    refused.push((answer, Answer::Accepted));
+                }
+                None => refused.push((answer, Answer::Refused(0.0))),
             }
             return None;
         }
@@ -379,7 +386,7 @@
             return None;
         }
         *room += more;
-        let id = self.hold(Held { txn, hand_in: number, key, body, ends_at, attempts: 0 });
+        let id = self.hold(Held { txn, hand_ins: vec![number], key, body, ends_at, attempts: 0 });
         self.hand_ins.insert(number, id);
         fresh.push(Fresh { id, record, answer });
         Some(Message {
@@ -407,12 +414,19 @@
     fn release(&mut self, id: MessageId) -> Option<Held> {
         let held = self.held.remove(&id)?;
         self.ids.remove(&held.txn);
-        self.hand_ins.remove(&held.hand_in);
+        for hand_in in &held.hand_ins {
+            self.hand_ins.remove(hand_in);
+        }
         Some(held)
     }
 
     fn withdraw(&mut self, hand_in: u64) -> Option<Event> {
-        let id = *self.hand_ins.get(&hand_in)?;
+        let id = self.hand_ins.remove(&hand_in)?;
+        let held = self.held.get_mut(&id)?;
+        held.hand_ins.retain(|&number| number != hand_in);
+        if !held.hand_ins.is_empty() {
+            return None;
+        }
         let held = self.release(id)?;
         self.store.end(&held.txn, None);
         Some(Event::Dropped(id))
@@ -492,8 +506,7 @@
             let ends_at = now + Duration::from_millis(left);
             let id = self.hold(Held {
                 txn: m.txn,
-                // No client waits for it.
-                hand_in: u64::MAX,
+                hand_ins: vec![EARLIER_HAND_IN],
                 key: m.key,
                 body: m.body,
                 ends_at,
@@ -572,3 +585,58 @@
         u8::try_from(index).unwrap_or(u8::MAX)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A host with one receiver for destination 7, and its inputs' other end.
+    pub(super) fn host(state: &std::path::Path) -> (Host, mpsc::Sender<Input>) {
+        let json = serde_json::json!({
+            "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
+            "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
+        let settings = rudderspindle::settings::read(&json).expect("settings");
+        let names = rudderspindle::settings::names(&json).expect("names");
+        let (to_host, inputs) = mpsc::channel(16);
+        let outbound = Rc::new(Outbound::new(&settings, 8, to_host.clone()));
+        let store = Store::open(state, 3_000_000).expect("a journal");
+        let parts = Parts { settings, names, seed: 1, store, outbound, reports: Rc::default(), inputs };
+        let member =
+            serde_json::json!({"id": "r1", "host_port": "127.0.0.1:1", "cell": 7, "phase": "SERVING"});
+        let list = serde_json::json!({"revision": 1, "complete": true, "members": [member]});
+        let list = serde_json::from_value(list).expect("a list");
+        (Host::new(parts, &list, None).expect("a host"), to_host)
+    }
+
+    fn submission(number: u64, txn: &str) -> (Input, oneshot::Receiver<Answer>) {
+        let (answer, answered) = oneshot::channel();
+        let (txn, body) = (txn.into(), Bytes::from_static(b"text"));
+        let (ends_at, destination) = (Instant::now() + Duration::from_secs(9), DestinationId(7));
+        let s =
+            Submission { number, txn, class: 0, tenant: 0, destination, key: None, body, ends_at, answer };
+        (Input::HandedIn(s), answered)
+    }
+
+    /// A client that knows an open message's id could end it by going away, though another had its 202.
+    #[tokio::test]
+    async fn a_message_is_withdrawn_only_when_none_of_its_clients_was_heard() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let test = async {
+            let (mut host, _inputs) = host(folder.path());
+            for number in 1..=MOST_HAND_INS as u64 + 1 {
+                let (input, answered) = submission(number, "m1");
+                host.batch(vec![input]);
+                let more = number > MOST_HAND_INS as u64;
+                let expected = if more { Answer::Refused(0.0) } else { Answer::Accepted };
+                assert_eq!(answered.await, Ok(expected));
+            }
+            for number in 2..=MOST_HAND_INS as u64 + 1 {
+                host.batch(vec![Input::Withdrawn(number)]);
+                assert!(host.held.len() == 1 && host.store.knows(&"m1".into()), "ended by {number}");
+            }
+            host.batch(vec![Input::Withdrawn(1)]);
+            assert!(host.held.is_empty() && host.hand_ins.is_empty() && !host.store.knows(&"m1".into()));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+}
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,6 +1,7 @@
 //! Clients: takes messages in, and answers what the host says.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -10,21 +11,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioTimer;
 use rudderspindle::interface::*;
 use rudderspindle::settings::Names;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::host::Input;
 use super::outbound::IDEMPOTENCY_KEY;
-use super::{MAX_BODY, Meter, Metered, Txn};
+use super::{MAX_BODY, MAX_BUFFER, Meter, Metered, Txn};
 
 const X_TXN: HeaderName = HeaderName::from_static("x-txn");
 const X_ORG: HeaderName = HeaderName::from_static("x-org");
@@ -34,10 +34,18 @@
 const READY: &str = "/-/ready";
 /// An id or a key is no longer than this.
 const MAX_NAME: usize = 256;
-/// A connection whose next request does not come for so long is closed.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Pause after a connection could not be accepted.
+/// So long after it connected a client's first request must have come, whole.
+const FIRST_REQUEST: Duration = Duration::from_millis(2_300);
+/// A later request must have come whole so long after its first byte. Bytes that trickle do not extend it.
+const NEXT_REQUEST: Duration = Duration::from_millis(2_300);
+/// A connection with no request open is kept so long for the next one, while others do not need its place.
+const KEPT: Duration = Duration::from_secs(5);
+/// A client connects because it has something to say: one that is silent for longer goes first when places
+/// run out.
+const SHY: Duration = Duration::from_millis(300);
+/// How often the connections are looked over.
+const LOOK: Duration = Duration::from_millis(200);
+/// Pause after a connection could not be accepted or had no place.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A message handed in, and where its answer goes.
@@ -55,6 +63,15 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// What all clients together may take up.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections.
+    pub sockets: usize,
+    /// Bytes of bodies that have not come whole.
+    pub body_bytes: usize,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Answer {
     Accepted,
@@ -72,6 +89,10 @@
     host: mpsc::Sender<Input>,
     hand_ins: Cell<u64>,
     sockets: Arc<Semaphore>,
+    /// The open connections, by the order in which they came.
+    clients: RefCell<BTreeMap<u64, Rc<Client>>>,
+    /// Bytes that all bodies which have not come whole may still take up.
+    bodies: Arc<Semaphore>,
     stopping: watch::Receiver<bool>,
 }
 
@@ -79,25 +100,36 @@
     pub fn new(
         settings: Settings,
         names: Names,
-        sockets: usize,
+        limits: Limits,
         host: mpsc::Sender<Input>,
         stopping: watch::Receiver<bool>,
     ) -> Self {
-        let sockets = Arc::new(Semaphore::new(sockets));
-        Self { settings, names, host, hand_ins: Cell::new(0), sockets, stopping }
+        Self {
+            settings,
+            names,
+            host,
+            hand_ins: Cell::new(0),
+            sockets: Arc::new(Semaphore::new(limits.sockets)),
+            clients: RefCell::default(),
+            bodies: Arc::new(Semaphore::new(limits.body_bytes.max(MAX_BODY))),
+            stopping,
+        }
     }
 
     /// Accepts connections for good.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            // Never closed, so always granted in the end.
-            let permit = self.sockets.clone().acquire_owned().await;
+        spawn_local(self.clone().look_after_clients());
+        for number in 0.. {
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    let permit = self.place().await;
+                    let client = Rc::new(Client::default());
+                    self.clients.borrow_mut().insert(number, client.clone());
                     let this = self.clone();
                     spawn_local(async move {
-                        let _permit = permit;
-                        this.serve(stream).await;
+                        this.serve(stream, &client).await;
+                        this.clients.borrow_mut().remove(&number);
+                        drop(permit);
                     });
                 }
                 Err(error) => {
@@ -108,25 +140,53 @@
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    /// A place for one more connection. Accepting never stops: clients that keep their connections without a
+    /// request, or say nothing at all, would shut out all others.
+    async fn place(&self) -> OwnedSemaphorePermit {
+        loop {
+            if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
+                return permit;
+            }
+            let now = Instant::now();
+            let clients: Vec<Rc<Client>> = self.clients.borrow().values().cloned().collect();
+            let victim = clients.iter().filter_map(|c| Some((c.standing(now)?, c))).max_by_key(|c| c.0);
+            if let Some((_, client)) = victim {
+                client.close();
+            }
+            // Its task ends at once; or all have a request open, which the host answers soon.
+            let freed = self.sockets.clone().acquire_owned();
+            if let Ok(Ok(permit)) = timeout(ACCEPT_PAUSE, freed).await {
+                return permit;
+            }
+        }
+    }
+
+    /// Closes connections whose time is up.
+    async fn look_after_clients(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            let now = Instant::now();
+            self.clients.borrow().values().filter(|c| c.overdue(now)).for_each(|c| c.close());
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, client: &Client) {
         if stream.set_nodelay(true).is_err() {
             return;
         }
         let mut stopping = self.stopping.clone();
         let stops = *stopping.borrow_and_update();
-        let owed = OwedAnswer::default();
-        let io = Metered::new(stream, owed.meter.clone());
-        let service = service_fn(|request| self.answer(request, &owed));
+        let io = Metered::new(stream, client.owed.meter.clone());
+        let service = service_fn(|request| self.answer(request, client));
         let mut connection = pin!(
-            http1::Builder::new()
-                .keep_alive(!stops)
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
-                .serve_connection(io, service)
+            http1::Builder::new().keep_alive(!stops).max_buf_size(MAX_BUFFER).serve_connection(io, service)
         );
         let mut told = stops;
         loop {
             tokio::select! {
+                biased;
+                // First: a request that is read once the connection was chosen to go would be lost with it.
+                () = client.closing.notified() => break,
                 // How it ended shows in what is still owed.
                 _ = connection.as_mut() => break,
                 _ = stopping.changed(), if !told => {
@@ -136,7 +196,7 @@
             }
         }
         // The client never heard that its message is taken on, and may hand it in elsewhere: drop it.
-        if let Some(number) = owed.unheard() {
+        if let Some(number) = client.owed.unheard() {
             let _ = self.host.send(Input::Withdrawn(number)).await;
         }
     }
@@ -144,27 +204,39 @@
     async fn answer(
         &self,
         request: Request<Incoming>,
-        owed: &OwedAnswer,
+        client: &Client,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let answer = match (request.method(), request.uri().path()) {
+        let mut answer = match (request.method(), request.uri().path()) {
             (&Method::GET, READY) if *self.stopping.borrow() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "stopping")
             }
             (&Method::GET, READY) => plain(StatusCode::OK, "ready"),
             (_, READY) => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"),
-            (&Method::POST, _) => match self.submit(request, owed).await {
+            (&Method::POST, _) => match self.submit(request, client).await {
                 Ok(answer) | Err(answer) => answer,
             },
             _ => plain(StatusCode::METHOD_NOT_ALLOWED, "POST only"),
         };
+        if answer.status().is_client_error() {
+            // What follows on the connection of a client that cannot be understood may be the rest of a body.
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        client.rest();
         Ok(answer)
     }
 
     /// Hands a message to the host and waits for what it says; `Err` is a request that cannot be taken.
-    async fn submit(&self, request: Request<Incoming>, owed: &OwedAnswer) -> Result<Reply, Reply> {
+    async fn submit(&self, request: Request<Incoming>, client: &Client) -> Result<Reply, Reply> {
         let bad = |what| plain(StatusCode::BAD_REQUEST, what);
+        let owed = &client.owed;
         let (head, body) = request.into_parts();
-        if body.size_hint().lower() > MAX_BODY as u64 {
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            // hyper lets it override a Content-Length and reads on behind the last chunk: another request may
+            // be hidden in what the length says is the body. No client of ours sends it.
+            return Err(bad("Transfer-Encoding"));
+        }
+        let length = body.size_hint().lower();
+        if length > MAX_BODY as u64 {
             return Err(too_large());
         }
         let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
@@ -188,12 +260,19 @@
         }
         let key = key.map(|key| Bytes::copy_from_slice(key.as_bytes()));
         let txn = Txn::from(txn);
-        let body = match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
-            Ok(Err(_)) => return Err(bad("unfinished body")),
-            Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "unfinished body")),
+        let body = {
+            let Ok(_room) = self.bodies.try_acquire_many(length as u32) else {
+                return Ok(self.refusal(0.0));
+            };
+            match timeout_at(client.due(), Limited::new(body, MAX_BODY).collect()).await {
+                // A copy: a body that came as one piece would keep the connection's whole buffer in memory.
+                Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
+                Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
+                Ok(Err(_)) => return Err(bad("unfinished body")),
+                Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "unfinished body")),
+            }
         };
+        client.asked.set(true);
         // A message's time counts from its last byte. Its class bounds what a client can ask for.
         let left = left.min(self.settings.classes[class].deadline / 1_000.0);
         let ends_at = Instant::now() + Duration::from_secs_f64(left);
@@ -252,6 +331,71 @@
     value.trim().parse().ok().map(DestinationId)
 }
 
+/// A client's connection.
+#[derive(Debug)]
+struct Client {
+    /// Since when it has had no request open, and whether it ever had one.
+    rests_since: Cell<Instant>,
+    known: Cell<bool>,
+    /// Whether a request has come whole and is not answered.
+    asked: Cell<bool>,
+    closing: Notify,
+    owed: OwedAnswer,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            rests_since: Cell::new(Instant::now()),
+            known: Cell::new(false),
+            asked: Cell::new(false),
+            closing: Notify::new(),
+            owed: OwedAnswer::default(),
+        }
+    }
+}
+
+impl Client {
+    fn close(&self) {
+        self.closing.notify_one();
+    }
+
+    /// A request has its answer; the next one may come.
+    fn rest(&self) {
+        self.asked.set(false);
+        self.known.set(true);
+        self.rests_since.set(Instant::now());
+        self.owed.meter.listen();
+    }
+
+    /// When the request that is coming, or that may come, must be there.
+    fn due(&self) -> Instant {
+        match self.owed.meter.heard() {
+            _ if !self.known.get() => self.rests_since.get() + FIRST_REQUEST,
+            Some(at) => at + NEXT_REQUEST,
+            None => self.rests_since.get() + KEPT,
+        }
+    }
+
+    fn overdue(&self, now: Instant) -> bool {
+        !self.asked.get() && self.due() <= now
+    }
+
+    /// How fit it is to go when places run out: a newcomer that says nothing, then the longest without a
+    /// request, then the one whose request takes longest to come; not one with a request open.
+    fn standing(&self, now: Instant) -> Option<(u8, Duration)> {
+        if self.asked.get() {
+            return None;
+        }
+        let rested = now - self.rests_since.get();
+        Some(match self.owed.meter.heard() {
+            Some(at) => (0, now - at),
+            None if !self.known.get() && rested > SHY => (2, rested),
+            None => (1, rested),
+        })
+    }
+}
+
 /// The last hand-in of a connection that the host has, and whether its 202 was written.
 #[derive(Debug, Default)]
 struct OwedAnswer {
@@ -298,7 +442,8 @@
         let (stop, stopping) = watch::channel(false);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a client");
-        spawn_local(Rc::new(Inbound::new(settings, names, 8, to_host, stopping)).run(listener));
+        let limits = Limits { sockets: 8, body_bytes: MAX_BODY };
+        spawn_local(Rc::new(Inbound::new(settings, names, limits, to_host, stopping)).run(listener));
         (client, inputs, stop)
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -20,8 +20,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// A message's id, as its client chose it.
 pub type Txn = Rc<str>;
@@ -29,6 +31,10 @@
 /// Bytes that a message's body may hold at most.
 pub const MAX_BODY: usize = 64 * 1024;
 
+/// Bytes that a connection buffers of a head or a body at most, either way.
+const MAX_BUFFER: usize = 16 * 1024;
+const READ_AT_ONCE: usize = 4 * 1024;
+
 /// What can go wrong with a request to the platform.
 #[derive(Debug, thiserror::Error)]
 enum HttpError {
@@ -53,17 +59,20 @@
 {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let io = TokioIo::new(stream);
+    let (sender, connection) = http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await?;
     let mut driver = Driver::new();
     driver.spawn_local(connection);
     Ok((sender, driver))
 }
 
-/// How far a message on a connection has been written.
+/// What has passed over a connection for the message at hand.
 #[derive(Debug, Default)]
 struct Meter {
     written: Cell<u64>,
     complete: Cell<bool>,
+    /// When its first byte came in.
+    heard: Cell<Option<Instant>>,
 }
 
 impl Meter {
@@ -71,6 +80,16 @@
     fn reset(&self) {
         self.written.set(0);
         self.complete.set(false);
+        self.heard.set(None);
+    }
+
+    /// What comes in from here on is the next message's.
+    fn listen(&self) {
+        self.heard.set(None);
+    }
+
+    fn heard(&self) -> Option<Instant> {
+        self.heard.get()
     }
 
     /// Whether any byte has been written.
@@ -86,13 +105,13 @@
 
 /// A stream that keeps its meter.
 struct Metered {
-    io: TokioIo<TcpStream>,
+    stream: TcpStream,
     meter: Rc<Meter>,
 }
 
 impl Metered {
     fn new(stream: TcpStream, meter: Rc<Meter>) -> Self {
-        Self { io: TokioIo::new(stream), meter }
+        Self { stream, meter }
     }
 
     fn count(&self, result: &Poll<std::io::Result<usize>>) {
@@ -106,9 +125,18 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        // A buffer of its own, as what hyper's cursor has been given cannot be looked at again.
+        let mut bytes = [0; READ_AT_ONCE];
+        let room = buf.remaining().min(READ_AT_ONCE);
+        let mut read = ReadBuf::new(&mut bytes[..room]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        buf.put_slice(read.filled());
+        if !read.filled().is_empty() && self.meter.heard.get().is_none() {
+            self.meter.heard.set(Some(Instant::now()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -118,7 +146,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let result = Pin::new(&mut self.io).poll_write(cx, buf);
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(&result);
         result
     }
@@ -128,13 +156,13 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let result = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(&result);
         result
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
+        self.stream.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -143,10 +171,10 @@
         if self.meter.started() {
             self.meter.complete.set(true);
         }
-        Pin::new(&mut self.io).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/net/reports.rs
+++ b/src/net/reports.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, StatusCode, header};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use super::host::Input;
@@ -40,17 +40,38 @@
         self.queue.borrow().is_empty()
     }
 
-    /// Sends what is queued, again and again until it is acknowledged with 204.
-    pub async fn run(&self, addr: SocketAddr, host: mpsc::Sender<Input>) {
+    /// Sends what is queued, again and again until it is acknowledged with 204; always to the address that is
+    /// in force.
+    pub async fn run(&self, mut addr: watch::Receiver<SocketAddr>, host: mpsc::Sender<Input>) {
         let mut connection = None;
         let (mut patience, mut most) = (FIRST_PATIENCE, MOST);
         loop {
+            if addr.has_changed().unwrap_or(false) {
+                // What the old address has not acknowledged goes to the new one.
+                (connection, patience, most) = (None, FIRST_PATIENCE, MOST);
+            }
+            let at = *addr.borrow_and_update();
             let batch: Vec<Notice> = self.queue.borrow().iter().take(most).cloned().collect();
+            let moved = async {
+                // If nobody can move it any more, the program is about to end.
+                if addr.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+                addr.mark_changed();
+            };
             if batch.is_empty() {
-                self.more.notified().await;
+                // Also while idle: the kept connection is the old address's.
+                tokio::select! {
+                    () = self.more.notified() => {}
+                    () = moved => {}
+                }
                 continue;
             }
-            let sent = timeout(patience, post(addr, &mut connection, &batch)).await;
+            let sent = tokio::select! {
+                biased;
+                () = moved => continue,
+                sent = timeout(patience, post(at, &mut connection, &batch)) => sent,
+            };
             match sent.unwrap_or(Err(HttpError::Silent)) {
                 Ok(()) => {
                     self.queue.borrow_mut().drain(..batch.len());
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStderr, Command};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -276,6 +276,19 @@
             "rules": {"cold_from": 0.2, "fall_multiple": 2.5, "tip_after": 3000.0, "warm_within": 9000.0}}})
 }
 
+/// A platform, one receiver for destination 7 and a sender, with a deadline for its messages.
+pub async fn set_up(acts: &[Act], deadline: f64) -> (Platform, Receiver, Program, Folder, Value) {
+    let (platform, receiver) = (Platform::start().await, Receiver::start(acts).await);
+    let config = config(platform.addr, &[member("r1", receiver.addr, 7, "SERVING")], deadline);
+    *platform.list.lock().expect("a list") = Some(config["known"].clone());
+    let folder = lasting();
+    let program = Program::start(&config, &folder.1).await;
+    (platform, receiver, program, folder, config)
+}
+
+/// What keeps a folder, and the state's path in it.
+pub type Folder = (TempDir, std::path::PathBuf);
+
 /// The built program, killed when dropped.
 pub struct Program {
     pub addr: SocketAddr,
@@ -326,11 +339,28 @@
     }
 
     pub async fn terminate(&self) {
+        self.signal("-TERM").await;
+    }
+
+    /// Replaces the configuration, which may be none at all, and tells the program.
+    pub async fn configure(&self, config: &str, state: &Path) {
+        std::fs::write(state.with_extension("json"), config).expect("a configuration file");
+        self.signal("-HUP").await;
+    }
+
+    async fn signal(&self, signal: &str) {
         let pid = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().await.expect("kill runs");
+        let sent = Command::new("kill").args([signal, &pid]).status().await.expect("kill runs");
         assert!(sent.success());
     }
 
+    /// A client's connection on which bytes are written as they are.
+    pub async fn raw(&self, bytes: &[u8]) -> TcpStream {
+        let mut stream = TcpStream::connect(self.addr).await.expect("a connection");
+        stream.write_all(bytes).await.expect("writable");
+        stream
+    }
+
     pub async fn exit(&mut self) -> ExitStatus {
         soon("the end", self.child.wait()).await.expect("a status")
     }
@@ -365,8 +395,34 @@
     }
 }
 
+/// A hand-in as a client writes it.
+pub fn raw_hand_in(txn: &str, length: &str, body: &str) -> Vec<u8> {
+    format!(
+        "POST /safe HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {txn}\r\nX-Org: acme\r\nX-Remaining: 60\r\n\
+         X-Route-To: dest=7\r\n{length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// The status of the answer that comes next; `None` if the connection ends instead.
+pub async fn status(stream: &mut TcpStream) -> Option<u16> {
+    let mut head = [0; 12];
+    match soon("an answer or a close", stream.read_exact(&mut head)).await {
+        Ok(_) => Some(String::from_utf8_lossy(&head[9..]).parse().expect("a status")),
+        Err(_) => None,
+    }
+}
+
+/// Reads what still comes until the connection ends.
+pub async fn rest(stream: &mut TcpStream) -> Vec<u8> {
+    let mut rest = Vec::new();
+    // A reset ends it as well.
+    let _ = soon("the end", stream.read_to_end(&mut rest)).await;
+    rest
+}
+
 /// A folder that outlasts programs.
-pub fn lasting() -> (TempDir, std::path::PathBuf) {
+pub fn lasting() -> Folder {
     let folder = tempfile::tempdir().expect("a folder");
     let state = folder.path().join("state");
     std::fs::create_dir(&state).expect("a folder");
--- a/tests/sender.rs
+++ b/tests/sender.rs
@@ -18,17 +18,6 @@
     Bytes::from_static(text.as_bytes())
 }
 
-/// A platform, one receiver for destination 7 and a sender, with a deadline for its messages.
-async fn set_up(acts: &[Act], deadline: f64) -> (Platform, Receiver, Program, Folder, serde_json::Value) {
-    let (platform, receiver) = (Platform::start().await, Receiver::start(acts).await);
-    let config = config(platform.addr, &[member("r1", receiver.addr, 7, "SERVING")], deadline);
-    let folder = lasting();
-    let program = Program::start(&config, &folder.1).await;
-    (platform, receiver, program, folder, config)
-}
-
-type Folder = (tempfile::TempDir, std::path::PathBuf);
-
 fn undeliverable(txn: &str) -> (String, String) {
     (txn.to_owned(), "undeliverable".to_owned())
 }
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,198 @@
+//! The sender in service: clients and receivers that keep to nothing, new configurations, long days.
+
+#[path = "common/fakes.rs"]
+mod fakes;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fakes::*;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const LONG: f64 = 60_000.0;
+
+/// A client that cannot be understood is owed an error or a close so soon after it connects.
+const OWED: Duration = Duration::from_secs(3);
+
+fn text() -> Bytes {
+    Bytes::from_static(b"text")
+}
+
+// ---- Clients ---------------------------------------------------------------------------------------------
+
+/// Accepting used to stop when all places were taken, by clients that ask once and stay or that say nothing.
+#[tokio::test]
+async fn clients_that_keep_silent_connections_shut_nobody_out() {
+    let (_platform, mut receiver, program, _folder, _) = set_up(&[], LONG).await;
+    let mut kept = Vec::new();
+    for n in 0..100 {
+        kept.push(program.raw(b"").await);
+        let mut stream = program.raw(&raw_hand_in(&format!("m{n}"), "Content-Length: 4", "text")).await;
+        assert_eq!(status(&mut stream).await, Some(202));
+        assert_eq!(receiver.call().await.txn, format!("m{n}"));
+        kept.push(stream);
+    }
+    let ready = Request::get("/-/ready").body(Full::default()).expect("a request");
+    assert_eq!(program.request(ready).await.expect("an answer").status(), 200);
+}
+
+#[tokio::test]
+async fn a_client_that_says_nothing_or_trickles_is_let_go_in_time() {
+    let (_platform, mut receiver, program, _folder, _) = set_up(&[], LONG).await;
+    let whole = raw_hand_in("slow", "Content-Length: 4", "text");
+    let silent = async {
+        let mut stream = program.raw(b"").await;
+        assert_eq!(status(&mut stream).await, None);
+    };
+    let half_a_head = async {
+        let mut stream = program.raw(&whole[..40]).await;
+        assert_eq!(status(&mut stream).await, None);
+    };
+    let half_a_body = async {
+        let mut stream = program.raw(&whole[..whole.len() - 1]).await;
+        assert!(status(&mut stream).await.is_none_or(|status| status == 408));
+    };
+    // Each byte comes well within any patience for one.
+    let trickle = async {
+        let mut stream = program.raw(b"").await;
+        for byte in &whole[..100] {
+            if stream.write_all(&[*byte]).await.is_err() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("a client that trickles is heard for good");
+    };
+    let since = Instant::now();
+    tokio::join!(silent, half_a_head, half_a_body, async {
+        trickle.await;
+        // A byte that meets the close is lost, and the next one notices.
+        assert!(since.elapsed() < OWED + Duration::from_millis(200), "{:?}", since.elapsed());
+    });
+    assert!(receiver.nothing_called());
+}
+
+#[tokio::test]
+async fn a_client_that_cannot_be_understood_gets_an_error_and_hands_nothing_in() {
+    let (mut platform, mut receiver, program, _folder, _) = set_up(&[], LONG).await;
+    let endless = format!("POST /safe HTTP/1.1\r\nX-Noise: {}", "x".repeat(100_000));
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("noise", vec![0x16, 3, 1, 0, 0xff, b'\r', b'\n', b'\r', b'\n']),
+        ("endless head", endless.into_bytes()),
+        ("negative length", raw_hand_in("m1", "Content-Length: -4", "text")),
+        ("huge length", raw_hand_in("m2", "Content-Length: 18446744073709551615", "text")),
+        ("60 MB", raw_hand_in("m3", "Content-Length: 60000000", "text")),
+        ("no length that is one", raw_hand_in("m4", "Content-Length: four", "text")),
+        ("two lengths", raw_hand_in("m5", "Content-Length: 4\r\nContent-Length: 5", "text")),
+        ("chunks", raw_hand_in("m6", "Transfer-Encoding: chunked", "4\r\ntext\r\n0\r\n\r\n")),
+        ("no id", raw_hand_in("", "Content-Length: 4", "text")),
+    ];
+    for (what, bytes) in cases {
+        let since = Instant::now();
+        let mut stream = TcpStream::connect(program.addr).await.expect("a connection");
+        // The sender may close before it is all written.
+        let _ = stream.write_all(&bytes).await;
+        let status = status(&mut stream).await;
+        assert!(status.is_none_or(|status| (400..500).contains(&status)), "{what}: {status:?}");
+        rest(&mut stream).await;
+        assert!(since.elapsed() < OWED, "{what}: {:?}", since.elapsed());
+    }
+    assert!(receiver.nothing_called() && platform.nothing_reported());
+}
+
+/// hyper lets Transfer-Encoding override a Content-Length: what hides behind the last chunk is a body's rest.
+#[tokio::test]
+async fn a_request_hidden_in_a_body_is_not_handed_in() {
+    let (_platform, mut receiver, program, _folder, _) = set_up(&[], LONG).await;
+    let hidden = String::from_utf8(raw_hand_in("hidden", "Content-Length: 4", "text")).expect("text");
+    for fields in [
+        "Content-Length: LENGTH\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: LENGTH",
+    ] {
+        let body = format!("4\r\ntext\r\n0\r\n\r\n{hidden}");
+        let fields = fields.replace("LENGTH", &body.len().to_string());
+        let mut stream = program.raw(&raw_hand_in("outer", &fields, &body)).await;
+        assert_eq!(status(&mut stream).await, Some(400));
+        let rest = String::from_utf8_lossy(&rest(&mut stream).await).into_owned();
+        assert!(!rest.contains("HTTP/1.1"), "{rest}");
+    }
+    program.hand_in("safe", "last", text()).await;
+    assert_eq!(receiver.call().await.txn, "last");
+}
+
+// ---- New configurations ----------------------------------------------------------------------------------
+
+/// The configuration with discovery elsewhere.
+fn moved(config: &serde_json::Value, to: &Platform) -> serde_json::Value {
+    let mut config = config.clone();
+    config["discovery"] = to.addr.to_string().into();
+    config
+}
+
+#[tokio::test]
+async fn on_sighup_the_list_and_the_notices_move_to_the_new_address() {
+    let (mut old, mut first, mut program, folder, config) = set_up(&[], LONG).await;
+    let (_, lines) = old.watch().await;
+    // A notice that the old address never takes.
+    old.answer_reports(&[500; 100]);
+    assert_eq!(program.hand_in_within("safe", "late", text(), "0").await.status(), 503);
+    first.then(&[Act::Break]);
+    assert_eq!(program.hand_in("once", "m1", text()).await.status(), 202);
+    first.call().await;
+    assert_eq!(old.report().await.1, 500);
+    // A file that cannot be used changes nothing.
+    program.configure("{", &folder.1).await;
+    program.says("configuration left as it was").await;
+    std::fs::remove_file(folder.1.with_extension("json")).expect("a file");
+    for bad in [config.to_string().replace("\"settings\"", "\"nothing\""), String::new()] {
+        program.configure(&bad, &folder.1).await;
+        program.says("configuration left as it was").await;
+    }
+    assert!(!lines.is_closed());
+    // Revisions start anew there, and the list names another receiver.
+    let (mut new, mut second) = (Platform::start().await, Receiver::start(&[]).await);
+    let whole = list(1, true, &[member("r2", second.addr, 7, "SERVING")]);
+    *new.list.lock().expect("a list") = Some(whole);
+    program.configure(&moved(&config, &new).to_string(), &folder.1).await;
+    let (query, new_lines) = new.watch().await;
+    assert!(query.contains("from=1"), "{query}");
+    soon("the old watch ends", lines.closed()).await;
+    assert_eq!(new.report().await.0[0].0, "m1");
+    assert_eq!(program.hand_in("safe", "m2", text()).await.status(), 202);
+    assert_eq!(second.call().await.txn, "m2");
+    assert!(first.nothing_called());
+    // And a second time, with a list of its own again.
+    let (mut third, mut last) = (Platform::start().await, Receiver::start(&[]).await);
+    *third.list.lock().expect("a list") = Some(list(1, true, &[member("r3", last.addr, 7, "SERVING")]));
+    let config = moved(&config, &third);
+    program.configure(&config.to_string(), &folder.1).await;
+    let _watch = third.watch().await;
+    soon("the watch before ends", new_lines.closed()).await;
+    assert_eq!(program.hand_in("safe", "m3", text()).await.status(), 202);
+    assert_eq!(last.call().await.txn, "m3");
+    // A restart reads the new file. Its `known` is of an address that counted farther.
+    program.kill().await;
+    let program = Program::start(&config, &folder.1).await;
+    let (query, _lines) = third.watch().await;
+    assert!(query.contains("from=1"), "{query}");
+    assert_eq!(program.hand_in("safe", "m4", text()).await.status(), 202);
+    // The kill may have come before m3's delivery was on record.
+    while last.call().await.txn != "m4" {}
+    assert!(second.nothing_called() && first.nothing_called());
+}
+
+/// While the new address is silent the list stays as it was told last.
+#[tokio::test]
+async fn a_new_address_that_is_silent_leaves_the_list_as_it_was() {
+    let (_old, mut receiver, mut program, folder, mut config) = set_up(&[], LONG).await;
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    config["discovery"] = silent.local_addr().expect("an address").to_string().into();
+    program.configure(&config.to_string(), &folder.1).await;
+    program.says("configuration read again").await;
+    soon("a connection", silent.accept()).await.expect("a connection");
+    assert_eq!(program.hand_in("safe", "m1", text()).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m1");
+}
