Spoilt answers are settled when known; nothing behind an answer is read as the next; churn is forgotten

Cause, from the code and tests on sockets: Outbound::exchange waited for a whole head (heads that do not end: until the time-out), took a refusal's word before its body had come, and told no spoilt answer from a reset; finish read up to 64 KiB of an endless body. tokio keeps its readiness until the sockets are looked at, so bytes behind an answer could be read as the next one's: the unit test hangs on to the wrong answer without check_quiet. A DELETED line stayed in Outbound::routes, Host::routes and zones only grew, waits were never dropped, and keep put connections back under a changed address.

--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -30,6 +30,9 @@
 const STOP_LOOK: Duration = Duration::from_millis(20);
 /// Longest time without a batch: nothing is due, so it only bounds the sleep.
 const IDLE: Duration = Duration::from_secs(3600);
+/// A receiver that has left the list keeps its name for longer than the module remembers it: it may only be
+/// away from a list that lags, and must not come back as one without a past.
+const KEEP_GONE: Duration = Duration::from_secs(70);
 /// Clients that may hand in one message at the same time; more are refused.
 const MOST_HAND_INS: usize = 4;
 /// Stands for clients that an earlier process answered: they are heard for good.
@@ -72,6 +75,14 @@
     attempts: u32,
 }
 
+/// What a receiver's id stands for.
+#[derive(Debug)]
+struct Known {
+    route: RouteId,
+    destination: Option<DestinationId>,
+    gone_at: Option<Instant>,
+}
+
 /// A message that was handed in with this batch.
 struct Fresh {
     id: MessageId,
@@ -94,7 +105,9 @@
     ids: HashMap<Txn, MessageId>,
     hand_ins: HashMap<u64, MessageId>,
     next_id: u32,
-    routes: HashMap<Rc<str>, RouteId>,
+    /// Receivers on the list, and for a while those that have left it.
+    routes: HashMap<Rc<str>, Known>,
+    next_route: u64,
     destinations: HashSet<DestinationId>,
     zones: Vec<String>,
     calls: HashMap<MessageId, AbortHandle>,
@@ -141,6 +154,7 @@
             hand_ins: HashMap::new(),
             next_id: 0,
             routes: HashMap::new(),
+            next_route: 0,
             destinations: HashSet::new(),
             calls: HashMap::new(),
             wakes: Vec::new(),
@@ -500,7 +514,7 @@
             let ran = m.may_have_run.or(m.out);
             let may_have_run = ran.map(|ran| PastRun {
                 ago: wall.saturating_sub(ran.at) as Millis,
-                route: self.route(&ran.receiver),
+                route: self.route(&ran.receiver, now),
                 zone: self.zone(&ran.zone),
             });
             let ends_at = now + Duration::from_millis(left);
@@ -530,15 +544,21 @@
 
     /// The list in the module's terms; outgoing calls follow it at once.
     fn list(&mut self, list: &List) -> Vec<RouteEntry> {
-        let entries: Vec<RouteEntry> = list.members.iter().map(|member| self.member(member)).collect();
+        let now = Instant::now();
+        let entries: Vec<RouteEntry> = list.members.iter().map(|member| self.member(member, now)).collect();
         if list.complete {
             let listed: HashSet<RouteId> = entries.iter().map(|e| e.route).collect();
             self.outbound.keep_only(&listed);
+            let missing = self.routes.values_mut().filter(|known| !listed.contains(&known.route));
+            missing.for_each(|known| known.gone_at = known.gone_at.or(Some(now)));
         }
+        // Receivers are replaced all day by new ones under new ids.
+        self.routes.retain(|_, known| known.gone_at.is_none_or(|at| now - at < KEEP_GONE));
+        self.destinations = self.routes.values().filter_map(|known| known.destination).collect();
         entries
     }
 
-    fn member(&mut self, member: &Member) -> RouteEntry {
+    fn member(&mut self, member: &Member, now: Instant) -> RouteEntry {
         let kind = self.names.kinds.iter().position(|name| *name == member.flavor);
         // The last kind serves for those without a name.
         let kind = kind.unwrap_or(self.settings.kinds.len().saturating_sub(1));
@@ -548,15 +568,17 @@
             _ => Listing::Draining,
         };
         let entry = RouteEntry {
-            route: self.route(&member.id),
+            route: self.route(&member.id, now),
             destination: DestinationId(member.cell),
             zone: self.zone(&member.locality),
             kind: kind as u16,
             listing,
             rate: member.size,
         };
-        if listing != Listing::Gone {
-            self.destinations.insert(entry.destination);
+        if let Some(known) = self.routes.get_mut(member.id.as_str()) {
+            let gone = listing == Listing::Gone;
+            known.gone_at = gone.then(|| known.gone_at.unwrap_or(now));
+            known.destination = if gone { known.destination } else { Some(entry.destination) };
         }
         let route = Route {
             addr: member.host_port.parse().ok(),
@@ -570,19 +592,26 @@
         entry
     }
 
-    fn route(&mut self, receiver: &str) -> RouteId {
-        let next = RouteId(self.routes.len() as u64);
-        *self.routes.entry(receiver.into()).or_insert(next)
+    /// A receiver's number; one that is on no list yet is taken for gone.
+    fn route(&mut self, receiver: &str, now: Instant) -> RouteId {
+        if let Some(known) = self.routes.get(receiver) {
+            return known.route;
+        }
+        let route = RouteId(self.next_route);
+        self.next_route += 1;
+        let known = Known { route, destination: None, gone_at: Some(now) };
+        self.routes.insert(receiver.into(), known);
+        route
     }
 
     /// A zone's number; one that the settings do not name gets a further one, so that it is like no other.
     fn zone(&mut self, zone: &str) -> u8 {
         let known = self.zones.iter().position(|name| name == zone);
-        let index = known.unwrap_or_else(|| {
+        let next = self.zones.len();
+        if known.is_none() && next < usize::from(u8::MAX) {
             self.zones.push(zone.to_owned());
-            self.zones.len() - 1
-        });
-        u8::try_from(index).unwrap_or(u8::MAX)
+        }
+        known.unwrap_or(next) as u8
     }
 }
 
@@ -639,4 +668,39 @@
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
+
+    /// Receivers are replaced all day by others under new ids, and messages are ever new.
+    #[tokio::test(start_paused = true)]
+    async fn what_is_remembered_stays_bounded_while_receivers_and_messages_change() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let test = async {
+            let (mut host, mut _inputs) = host(folder.path());
+            let mut after = Vec::new();
+            for n in 0..1_200u64 {
+                let entry = |n: u64, phase| {
+                    let port = 1 + n % 50;
+                    serde_json::json!({"id": format!("r{n}"), "host_port": format!("127.0.0.1:{port}"),
+                        "locality": format!("zone-{n}"), "cell": 7 + n % 3, "phase": phase})
+                };
+                let members = if n < 3 {
+                    vec![entry(n, "SERVING")]
+                } else {
+                    vec![entry(n, "SERVING"), entry(n - 3, "DELETED")]
+                };
+                let list = serde_json::json!({"revision": n, "complete": false, "members": members});
+                host.batch(vec![Input::List(serde_json::from_value(list).expect("a list"))]);
+                let (input, _answered) = submission(n, &format!("m{n}"));
+                host.batch(vec![input, Input::Withdrawn(n)]);
+                tokio::time::advance(Duration::from_millis(500)).await;
+                host.batch(Vec::new());
+                let maps = host.routes.len() + host.destinations.len() + host.held.len() + host.ids.len();
+                let maps = maps + host.hand_ins.len() + host.calls.len() + host.wakes.len();
+                after.push(maps + host.outbound.remembered() + host.sender.remembered());
+            }
+            let (half, end) = (after[599], after[1_199]);
+            assert!(end <= half + 10 && end < 600, "{half} half-way, {end} at the end");
+            assert!(host.zones.len() <= usize::from(u8::MAX));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,12 +7,15 @@
 pub mod reports;
 pub mod store;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -20,10 +23,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// A message's id, as its client chose it.
 pub type Txn = Rc<str>;
@@ -34,6 +39,8 @@
 /// Bytes that a connection buffers of a head or a body at most, either way.
 const MAX_BUFFER: usize = 16 * 1024;
 const READ_AT_ONCE: usize = 4 * 1024;
+/// Bytes of an answer that are noted: 1xx answers and the line with the status.
+const ANSWER_NOTED: usize = 2 * 1024;
 
 /// What can go wrong with a request to the platform.
 #[derive(Debug, thiserror::Error)]
@@ -71,21 +78,78 @@
 struct Meter {
     written: Cell<u64>,
     complete: Cell<bool>,
-    /// When its first byte came in.
+    /// When its first byte came in, not counting 1xx answers.
     heard: Cell<Option<Instant>>,
+    /// On the way to a receiver: the head of its answer, as far as it matters.
+    answer: Option<RefCell<Vec<u8>>>,
+    /// Whenever something has come in.
+    more: Notify,
 }
 
 impl Meter {
+    /// One that also keeps the head of each answer.
+    fn of_answers() -> Self {
+        Self { answer: Some(RefCell::default()), ..Self::default() }
+    }
+
     /// From here on the next message counts.
     fn reset(&self) {
         self.written.set(0);
         self.complete.set(false);
-        self.heard.set(None);
+        self.listen();
     }
 
     /// What comes in from here on is the next message's.
     fn listen(&self) {
         self.heard.set(None);
+        if let Some(answer) = &self.answer {
+            answer.borrow_mut().clear();
+        }
+    }
+
+    fn note(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        let begun = match &self.answer {
+            None => true,
+            Some(answer) => {
+                let mut answer = answer.borrow_mut();
+                let room = ANSWER_NOTED.saturating_sub(answer.len());
+                answer.extend_from_slice(&bytes[..bytes.len().min(room)]);
+                // What is said ahead of the answer is not the answer.
+                while answer.starts_with(b"HTTP/1.1 1")
+                    && let Some(end) = answer.windows(4).position(|w| w == b"\r\n\r\n")
+                {
+                    answer.drain(..end + 4);
+                }
+                !answer.is_empty() && !answer.starts_with(b"HTTP/1.1 1")
+            }
+        };
+        if begun && self.heard.get().is_none() {
+            self.heard.set(Some(Instant::now()));
+        }
+        self.more.notify_one();
+    }
+
+    /// Whether the first line of the answer says 200, whatever the rest of it is like.
+    fn says_ok(&self) -> bool {
+        let Some(answer) = &self.answer else { return false };
+        let answer = answer.borrow();
+        let Some((version, rest)) = answer.split_at_checked(b"HTTP/1.x".len()) else { return false };
+        let ok = rest.strip_prefix(b" 200").and_then(|rest| rest.first());
+        version.starts_with(b"HTTP/1.") && ok.is_some_and(u8::is_ascii_whitespace)
+    }
+
+    /// Resolves once an answer has begun and its head has not ended `limit` later: it will not.
+    async fn head_without_end(&self, limit: Duration) {
+        loop {
+            if let Some(at) = self.heard() {
+                sleep_until(at + limit).await;
+                return;
+            }
+            self.more.notified().await;
+        }
     }
 
     fn heard(&self) -> Option<Instant> {
@@ -114,6 +178,20 @@
         Self { stream, meter }
     }
 
+    /// Before the first byte of a request: what has come behind the last answer, a second copy or noise, would
+    /// be read as the answer to this one; and a connection that has ended would lose it.
+    fn check_quiet(&self) -> std::io::Result<()> {
+        if self.meter.answer.is_none() || self.meter.started() {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error),
+            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Err(ErrorKind::InvalidData.into()),
+        }
+    }
+
     fn count(&self, result: &Poll<std::io::Result<usize>>) {
         if let Poll::Ready(Ok(n)) = result {
             self.meter.written.set(self.meter.written.get() + *n as u64);
@@ -133,9 +211,7 @@
         let mut read = ReadBuf::new(&mut bytes[..room]);
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
         buf.put_slice(read.filled());
-        if !read.filled().is_empty() && self.meter.heard.get().is_none() {
-            self.meter.heard.set(Some(Instant::now()));
-        }
+        self.meter.note(read.filled());
         Poll::Ready(Ok(()))
     }
 }
@@ -146,6 +222,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        self.check_quiet()?;
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(&result);
         result
@@ -156,6 +233,7 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
+        self.check_quiet()?;
         let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(&result);
         result
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response};
@@ -17,10 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::task::{AbortHandle, JoinHandle, spawn_local};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::host::Input;
-use super::{MAX_BODY, Meter, Metered, Txn};
+use super::{MAX_BODY, MAX_BUFFER, Meter, Metered, Txn};
 
 const X_TXN: HeaderName = HeaderName::from_static("x-txn");
 const X_REMAINING: HeaderName = HeaderName::from_static("x-remaining");
@@ -32,7 +32,11 @@
 /// ours: when it wrote its answer.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 /// How long the rest of an answer may take before its connection is given up.
-const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+const REST_OF_ANSWER: Duration = Duration::from_millis(500);
+/// ...and the rest of its head: it is written in one go.
+const HEAD_TIME: Duration = Duration::from_millis(500);
+/// A receiver that asks for a longer wait is not believed: it would be shut out by one bad figure.
+const LONGEST_WAIT: Millis = 60_000.0;
 const SWEEP: Duration = Duration::from_millis(500);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -111,7 +115,12 @@
         if !keeps {
             self.idle.borrow_mut().remove(&id);
         }
-        self.routes.borrow_mut().insert(id, route);
+        if route.listing == Listing::Gone {
+            // Receivers come and go all day under ever new names.
+            self.routes.borrow_mut().remove(&id);
+        } else {
+            self.routes.borrow_mut().insert(id, route);
+        }
     }
 
     /// A whole list has come: what it does not name is gone.
@@ -134,6 +143,7 @@
                 idle.retain(|c| c.usable(now, self.idle_time));
                 !idle.is_empty()
             });
+            self.waits.borrow_mut().retain(|_, until| *until > now);
         }
     }
 
@@ -185,9 +195,8 @@
         request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
     ) -> (Report, Option<Rest>) {
         loop {
-            let Some(addr) = self.routes.borrow().get(&route).and_then(|r| r.addr) else {
-                return (Outcome::Moot.into(), None);
-            };
+            let known = self.routes.borrow().get(&route).and_then(|r| Some((r.addr?, r.waits(route))));
+            let Some((addr, waits)) = known else { return (Outcome::Moot.into(), None) };
             let (mut connection, kept) = match self.kept(route) {
                 Some(connection) => (connection, true),
                 None => match self.connect(addr, until).await {
@@ -205,35 +214,63 @@
                 self.keep(route, connection);
                 return (Outcome::Moot.into(), None);
             };
-            connection.meter.reset();
-            let answer = timeout_at(until, connection.sender.send_request(request)).await;
             let meter = connection.meter.clone();
-            match answer {
-                Ok(Ok(response)) => {
-                    let report = read(&response);
-                    if report.wait > 0.0 {
-                        self.wait(route, report.wait);
+            meter.reset();
+            let answer = tokio::select! {
+                biased;
+                answer = connection.sender.send_request(request) => answer.map_err(|_| Failure::Broken),
+                () = meter.head_without_end(HEAD_TIME) => Err(Failure::Broken),
+                () = sleep_until(until) => Err(Failure::Silent),
+            };
+            let failure = match answer {
+                Ok(response) => match self.believe(response).await {
+                    Some((report, body)) => {
+                        if report.wait > 0.0 {
+                            self.wait(waits, report.wait);
+                        }
+                        return (report, Some((connection, body)));
                     }
-                    return (report, Some((connection, response)));
-                }
-                // A kept connection that the receiver closed before a byte of this went out: no attempt yet.
-                Ok(Err(_)) if kept && !meter.started() => {}
-                Ok(Err(_)) if meter.complete() => return (Outcome::Reset.into(), None),
-                Err(_) if meter.complete() => return (Outcome::Timeout.into(), None),
+                    None => Failure::Broken,
+                },
+                Err(failure) => failure,
+            };
+            // The first line has told already: it is delivered, though the rest of the answer is no use.
+            if meter.complete() && meter.says_ok() {
+                return (Outcome::Ok.into(), None);
+            }
+            match failure {
+                // A kept connection that the receiver closed, or that is not quiet, before a byte of this went
+                // out: no attempt yet.
+                Failure::Broken if kept && !meter.started() => {}
                 // A receiver begins a call when its last byte has come: this one never ran.
-                _ => return (Outcome::ConnectFailed.into(), None),
+                _ if !meter.complete() => return (Outcome::ConnectFailed.into(), None),
+                // Something was answered that cannot be read: it ran, and the receiver is up.
+                _ if meter.heard().is_some() => return (Outcome::Error.into(), None),
+                Failure::Broken => return (Outcome::Reset.into(), None),
+                Failure::Silent => return (Outcome::Timeout.into(), None),
             }
         }
     }
 
+    /// What an answer says, and what is left to read of it. That a call never ran is believed only of an answer
+    /// that is well-formed to its end: a spoilt one may say anything, and its call has run.
+    async fn believe(&self, response: Response<Incoming>) -> Option<(Report, Option<Incoming>)> {
+        let report = read(&response);
+        let body = response.into_body();
+        if matches!(report.outcome, Outcome::Ok | Outcome::Error) {
+            return Some((report, Some(body)));
+        }
+        drain(body).await.then_some((report, None))
+    }
+
     /// Reads the rest of an answer, so that its connection can be used again.
     async fn finish(&self, route: RouteId, rest: Option<Rest>) {
-        let Some((mut connection, response)) = rest else { return };
-        let rest = async {
-            Limited::new(response.into_body(), MAX_BODY).collect().await.ok()?;
-            connection.sender.ready().await.ok()
+        let Some((mut connection, body)) = rest else { return };
+        let whole = match body {
+            Some(body) => drain(body).await,
+            None => true,
         };
-        if timeout(REST_OF_ANSWER, rest).await == Ok(Some(())) {
+        if whole && matches!(timeout(REST_OF_ANSWER, connection.sender.ready()).await, Ok(Ok(()))) {
             self.keep(route, connection);
         }
     }
@@ -245,13 +282,12 @@
         self.waits.borrow().get(&route.waits(id)).is_none_or(|&until| until <= Instant::now())
     }
 
-    fn wait(&self, id: RouteId, wait: Millis) {
+    /// Also for a route that has left the list since: its destination has others.
+    fn wait(&self, waits: Waits, wait: Millis) {
         let until = Instant::now() + Duration::from_secs_f64(wait / 1_000.0);
-        if let Some(route) = self.routes.borrow().get(&id) {
-            let mut waits = self.waits.borrow_mut();
-            let at = waits.entry(route.waits(id)).or_insert(until);
-            *at = (*at).max(until);
-        }
+        let mut all = self.waits.borrow_mut();
+        let at = all.entry(waits).or_insert(until);
+        *at = (*at).max(until);
     }
 
     /// The connection that was used last: the others may then grow old and go.
@@ -268,7 +304,9 @@
     }
 
     fn keep(&self, route: RouteId, mut connection: Connection) {
-        let ready = self.routes.borrow().get(&route).is_some_and(|r| r.listing == Listing::Ready);
+        // The receiver may have moved while the call was out.
+        let serves = |r: &Route| r.listing == Listing::Ready && r.addr == Some(connection.addr);
+        let ready = self.routes.borrow().get(&route).is_some_and(serves);
         if ready && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(route).or_default().push(connection);
@@ -287,15 +325,16 @@
         let open = async {
             let stream = TcpStream::connect(addr).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let meter = Rc::new(Meter::default());
+            let meter = Rc::new(Meter::of_answers());
             let io = Metered::new(stream, meter.clone());
-            let (sender, connection) = http1::handshake(io).await.ok()?;
+            let (sender, connection) =
+                http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await.ok()?;
             let task = spawn_local(async move {
                 let _permit = permit;
                 // How it ended shows in the call that was out.
                 let _ = connection.await;
             });
-            Some(Connection { sender, meter, task, idle_since: Instant::now() })
+            Some(Connection { sender, addr, meter, task, idle_since: Instant::now() })
         };
         timeout_at(until, open).await.ok().flatten().ok_or(Outcome::ConnectFailed)
     }
@@ -323,13 +362,32 @@
     }
 }
 
-/// A connection, and an answer whose body has not been read.
-type Rest = (Connection, Response<Incoming>);
+/// A connection, and the body that has not been read from it.
+type Rest = (Connection, Option<Incoming>);
+
+/// Why a call has no answer that can be read.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    /// The connection ended, or what came is no answer.
+    Broken,
+    /// Time is up.
+    Silent,
+}
+
+/// Reads a body to its end, if it has one that is near: receivers write at full speed what they write.
+async fn drain(body: Incoming) -> bool {
+    if body.size_hint().lower() > MAX_BODY as u64 {
+        return false;
+    }
+    let whole = timeout(REST_OF_ANSWER, Limited::new(body, MAX_BODY).collect()).await;
+    matches!(whole, Ok(Ok(_)))
+}
 
 /// A connection to a receiver. Closed when dropped.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    addr: SocketAddr,
     meter: Rc<Meter>,
     task: JoinHandle<()>,
     idle_since: Instant,
@@ -363,10 +421,9 @@
 }
 
 fn told_wait(headers: &HeaderMap) -> Millis {
-    const LONGEST: Millis = 3_600_000.0;
     let text = headers.get(X_BACKOFF_MS).and_then(|v| v.to_str().ok());
     let wait = text.and_then(|t| t.trim().parse::<f64>().ok()).filter(|w| w.is_finite());
-    wait.unwrap_or(0.0).clamp(0.0, LONGEST)
+    wait.unwrap_or(0.0).clamp(0.0, LONGEST_WAIT)
 }
 
 #[cfg(test)]
@@ -383,6 +440,14 @@
         Route { addr: Some(addr), receiver, zone, destination: DestinationId(7), apart: false, listing }
     }
 
+    impl Outbound {
+        /// Routes, waits and idle connections that are remembered.
+        pub fn remembered(&self) -> usize {
+            let idle = self.idle.borrow().values().map(Vec::len).sum::<usize>();
+            self.routes.borrow().len() + self.waits.borrow().len() + idle
+        }
+    }
+
     async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
         let json = serde_json::json!({
             "extra": {"calls_out": 4}, "kinds": ["k"], "lanes": [{"name": "safe", "deadline": 9000.0}],
@@ -456,7 +521,7 @@
                     let addr = listener.local_addr().expect("an address");
                     outbound.list(ROUTE, route(addr, Listing::Draining));
                 } else {
-                    outbound.wait(ROUTE, 10_000.0);
+                    outbound.wait(Waits::Destination(DestinationId(7)), 10_000.0);
                 }
                 let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
                 assert_eq!(report, Outcome::Moot.into());
@@ -503,4 +568,61 @@
         };
         tokio::task::LocalSet::new().run_until(test).await;
     }
+
+    /// What has come behind an answer may not have been read yet when the next call goes out: it would be
+    /// taken for that one's answer.
+    #[tokio::test]
+    async fn a_connection_that_is_not_quiet_carries_no_further_call() {
+        let test = async {
+            for noise in [&b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"[..], b"noise"] {
+                let (outbound, listener, mut inputs) = set_up().await;
+                outbound.start(call());
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                answer(&mut stream, "200 OK").await;
+                next(&mut inputs).await;
+                while outbound.idle.borrow().is_empty() {
+                    tokio::task::yield_now().await;
+                }
+                // Nothing here waits, so that the runtime does not look at its sockets before the call is out.
+                assert_eq!(stream.try_write(noise).expect("writable"), noise.len());
+                outbound.start(call());
+                let again = timeout(Duration::from_secs(20), listener.accept()).await;
+                let (mut stream, _) = again.expect("a new connection").expect("a connection");
+                answer(&mut stream, "500 No").await;
+                let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+                assert_eq!(report, Outcome::Error.into());
+            }
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    #[tokio::test]
+    async fn a_connection_to_an_address_that_is_no_longer_the_routes_is_not_kept() {
+        let test = async {
+            let (outbound, listener, mut inputs) = set_up().await;
+            outbound.start(call());
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let other = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            outbound.list(ROUTE, route(other.local_addr().expect("an address"), Listing::Ready));
+            answer(&mut stream, "200 OK").await;
+            next(&mut inputs).await;
+            let end = timeout(Duration::from_secs(20), stream.read(&mut [0; 8])).await.expect("in time");
+            assert_eq!(end.expect("an end"), 0);
+            assert!(outbound.idle.borrow().is_empty());
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    #[tokio::test]
+    async fn a_wait_beyond_reason_is_not_believed() {
+        let test = async {
+            let (outbound, listener, mut inputs) = set_up().await;
+            outbound.start(call());
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            answer(&mut stream, "429 No\r\nX-Backoff-Ms: 1e300").await;
+            let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+            assert_eq!((report.outcome, report.wait), (Outcome::Full, LONGEST_WAIT));
+        };
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
 }
--- a/tests/common/fakes.rs
+++ b/tests/common/fakes.rs
@@ -245,6 +245,65 @@
     }
 }
 
+/// A receiver that writes what it is told to, byte for byte, and keeps the connection open.
+pub struct Spoiler {
+    pub addr: SocketAddr,
+    /// Each call: the number of its connection, and its id.
+    pub calls: UnboundedReceiver<(usize, String)>,
+    answers: Arc<Mutex<VecDeque<Vec<Vec<u8>>>>>,
+}
+
+impl Spoiler {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (call_to, calls) = unbounded_channel();
+        let answers = Arc::new(Mutex::new(VecDeque::<Vec<Vec<u8>>>::new()));
+        let script = answers.clone();
+        tokio::spawn(async move {
+            for number in 0.. {
+                let Ok((stream, _)) = listener.accept().await else { return };
+                let (call_to, script) = (call_to.clone(), script.clone());
+                tokio::spawn(async move {
+                    let (mut from, mut to) = stream.into_split();
+                    let mut seen = Vec::new();
+                    while let Ok(1..) = from.read_buf(&mut seen).await {
+                        // All bodies here end so, and no head does.
+                        if !seen.ends_with(b"text") {
+                            continue;
+                        }
+                        let head = String::from_utf8_lossy(&seen).into_owned();
+                        let txn = head.lines().find_map(|l| l.strip_prefix("x-txn: ")).unwrap_or_default();
+                        let _ = call_to.send((number, txn.to_owned()));
+                        seen.clear();
+                        let parts = script.lock().expect("a script").pop_front();
+                        for part in parts.unwrap_or_else(|| vec![GOOD.to_vec()]) {
+                            if part.is_empty() {
+                                tokio::time::sleep(Duration::from_millis(800)).await;
+                            } else if to.write_all(&part).await.is_err() {
+                                return;
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        Self { addr, calls, answers }
+    }
+
+    /// How the next call is answered; an empty part is a pause.
+    pub fn then(&self, parts: &[&[u8]]) {
+        let parts = parts.iter().map(|part| part.to_vec()).collect();
+        self.answers.lock().expect("a script").push_back(parts);
+    }
+
+    pub async fn call(&mut self) -> (usize, String) {
+        soon("a call", self.calls.recv()).await.expect("a receiver")
+    }
+}
+
+pub const GOOD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 // ---- The sender ------------------------------------------------------------------------------------------
 
 /// An entry of the list.
