--- a/tests/service.rs
+++ b/tests/service.rs
@@ -302,3 +302,28 @@
     assert_eq!(program.hand_in("safe", "m1", text()).await.status(), 202);
     assert_eq!(receiver.call().await.txn, "m1");
 }
+
+// ---- Restarts --------------------------------------------------------------------------------------------
+
+/// All that is held is taken up again after a kill, and a new client is heard at once beside it.
+#[tokio::test]
+async fn much_that_is_held_outlasts_a_kill() {
+    let acts = [Act::Say(429, Some(("x-backoff-ms", "30000")))];
+    let (mut platform, mut receiver, program, folder, config) = set_up(&acts, LONG).await;
+    program.hand_in("safe", "m0", text()).await;
+    receiver.call().await;
+    for n in 1..90 {
+        assert_eq!(program.hand_in("safe", &format!("m{n}"), text()).await.status(), 202, "m{n}");
+    }
+    program.kill().await;
+    let mut program = Program::start(&config, &folder.1).await;
+    assert_eq!(program.hand_in("safe", "new", text()).await.status(), 202);
+    let mut missing: std::collections::BTreeSet<String> = (0..90).map(|n| format!("m{n}")).collect();
+    missing.insert("new".to_owned());
+    while !missing.is_empty() {
+        missing.remove(&receiver.call().await.txn);
+    }
+    assert!(platform.nothing_reported());
+    program.child.start_kill().expect("it runs");
+    program.exit().await;
+}
