A gate that routes share has one outage, one trial and one ramp for all of them

Evenings with a shut partner of four endpoints broke the fourth rule (35 calls in 3 s for a capacity of 14.9). A model of such scenes in simulated time (crates/decide/tests/common/partner.rs) showed four causes, the largest first: an answer to a call sent before the partner shut came after the wait was told and counted as its return, so the outage itself counted as warming up; health was a route's also where the limit is all routes'; refusals alone were never an outage; good answers between errors let the ramp's clock run on.

Health is now a module of its own (crates/decide/src/health.rs): one for each route, and where they share a gate one for all of them that goes before. Routes that the list adds or brings under new ids come under it. Only a call sent since the outage proves a return. Trials after a told wait are spread.

The judge now says of each return how hard it was pushed, and rig evening prints return_worst_ratio.

--- /dev/null
+++ b/crates/daemon/tests/returns.rs
@@ -0,0 +1,79 @@
+//! A partner of four endpoints with one shared limit is shut and comes back cold, between two sender processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rudderspindle_standin::judge::{Verdict, judge};
+use rudderspindle_standin::program::Launch;
+use rudderspindle_standin::script::Script;
+use rudderspindle_standin::world::{Stage, World};
+
+/// All that comes is for one partner: the first refusal of each sender tells it of the whole wait, at one endpoint.
+const SHUT: &str = r#"
+seed = 23
+seconds = 13
+senders = 2
+list_late_ms = 50
+
+[traffic]
+per_s = 14.0
+status_share = 0.5
+clumps = 0.1
+clump = 6
+retries = 0.0
+leave = 0.0
+bad_per_s = 0.0
+
+[[partners]]
+number = 3
+name = "shared"
+per_s = 16.3
+limit = { kind = "span", span_ms = 1000 }
+refused_count = true
+tells = { share = 1.0 }
+work_ms = 120
+queue = 8
+connections = 32
+weight = 1.0
+endpoints = [
+  { id = "p3-0", hall = "hall-a" },
+  { id = "p3-1", hall = "hall-b" },
+  { id = "p3-2", hall = "hall-a" },
+  { id = "p3-3", hall = "hall-b" },
+]
+
+[[happenings]]
+what = "outage"
+at_ms = 2000
+for_ms = 7600
+partner = 3
+outage = { kind = "shut" }
+"#;
+
+/// Plays it until the stand-ins were not late, three times at the most.
+async fn play(script: &Script) -> Verdict {
+    for _ in 0..3 {
+        let folder = tempfile::tempdir().expect("a folder");
+        let launch = Launch::from(Path::new(env!("CARGO_BIN_EXE_rudderspindle")));
+        let stage = Stage { launch, folder: folder.path().to_owned(), longest: Duration::from_secs(12) };
+        let world = World::set_up(script, &stage).await.expect("a world");
+        let played = world.play().await;
+        assert_eq!(played.failed, Vec::<String>::new());
+        let verdict = judge(&played.lines);
+        if !verdict.in_doubt() {
+            return verdict;
+        }
+    }
+    panic!("the stand-ins were late three times: this machine is too busy to tell anything");
+}
+
+#[tokio::test]
+async fn a_partner_shut_as_a_whole_is_asked_gently_when_it_opens() {
+    let script = Script::parse(SHUT, Path::new("shut.toml")).expect("a script");
+    let verdict = play(&script).await;
+    assert!(verdict.clean(), "{verdict}");
+    let [back] = &verdict.returns[..] else { panic!("it came back once:\n{verdict}") };
+    assert!(back.shared && back.kind == "shut" && back.worst_calls > 0, "{verdict}");
+    assert!(back.worst_ratio <= 1.8, "{verdict}");
+    assert!(verdict.accounting.delivered * 2 > verdict.accounting.handed_in, "{verdict}");
+}
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 
+use crate::health::{Health, Scope, State};
 use crate::interface::*;
 
 // ---- Tuned constants -------------------------------------------------------------------------------------
@@ -42,17 +43,14 @@
 const CUT_REST: Millis = 400.0;
 /// The pace never falls below this share of the gate's fair part.
 const PACE_FLOOR: f64 = 0.8;
-/// Failures in a row, none answered well between, after which a route counts as down.
-const DOWN_RUN: u32 = 4;
-/// Weight of the newest answer in a route's share of errors; above the line it is as cold as after an outage.
-const ERROR_WEIGHT: f64 = 0.25;
-const ERROR_LINE: f64 = 0.45;
 /// Part of the multiple at which a cold destination falls over that a ramp uses; and how much lower it is,
 /// and steps are longer, where told rates are rough (up to half too high or too low).
-const RAMP_PART: f64 = 0.6;
+const RAMP_PART: f64 = 0.66;
 const ROUGH: f64 = 1.5;
 /// A told wait longer than this comes from a shut route, ms.
 const SHUT_WAIT: Millis = 2_500.0;
+/// So many refusals in a row, for longer than that, mean the same where no wait is told.
+const SHUT_RUN: u32 = 4;
 /// A call is overdue after its route's mean latency and so many deviations, but not before the floor, ms:
 /// short stand-stills are no outage.
 const OVERDUE_DEVIATIONS: f64 = 4.0;
@@ -63,8 +61,10 @@
 const FIRST_LATENCY: Millis = 400.0;
 /// Mean pause between trials of a route in an outage, ms, but no shorter than so many calls take at our part
 /// of the told rate: refused calls may count there.
-const TRIAL_PAUSE: Millis = 700.0;
+const TRIAL_PAUSE: Millis = 400.0;
 const TRIAL_CALLS: f64 = 2.0;
+/// Longest time over which trials are spread once a told wait is over, ms.
+const TRIAL_SPREAD: Millis = 2_000.0;
 /// Largest part of a partner in an outage that a sender takes for its own, where an equal part is less.
 const MOST_PART: f64 = 0.25;
 /// Time-out of an attempt, in multiples of when it is overdue.
@@ -141,16 +141,12 @@
     cut_at: Millis,
     latency: Millis,
     deviation: Millis,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-enum Health {
-    #[default]
-    Up,
-    /// Until the next trial.
-    Down(Millis),
-    /// Since when, and the part of the ramp that is ours.
-    Cold(Millis, f64),
+    /// Refusals since the last call that was let in, and when the first of them was.
+    turned: (u32, Millis),
+    /// Messages for it were under way when this sender began anew: what it knew of an outage is lost.
+    resumed: bool,
+    /// Of all its routes, where they share it.
+    health: Health,
 }
 
 /// An endpoint. Dropped some time after it is gone, when no call is out to it.
@@ -163,12 +159,7 @@
     gone_at: Option<Millis>,
     out: usize,
     health: Health,
-    errors: f64,
-    failures: u32,
-    failing_since: Millis,
-    answered_at: Millis,
     used_at: Millis,
-    ramp_at: Millis,
 }
 
 /// A call out; kept until all its messages have their outcomes.
@@ -350,7 +341,7 @@
         let longest = self.settings.classes.iter().fold(1.0, |most: f64, c| most.max(c.deadline));
         let gate = Gate::new(told, self.settings.peers_total, UNHURRIED / longest);
         if d.routes.is_empty() {
-            d.shared = gate.clone();
+            d.shared = Gate { resumed: d.shared.resumed, ..gate.clone() };
         }
         let (id, zone, listing) = (entry.route, entry.zone, entry.listing);
         d.routes.push(Route { id, zone, listing, gate, ..Route::default() });
@@ -387,6 +378,20 @@
         (0.0, 0.0)
     }
 
+    /// Whether an outcome tells of an outage by itself.
+    fn tells_of_outage(&mut self, now: Millis, outcome: Outcome, wait: Millis) -> bool {
+        let full = outcome == Outcome::Full;
+        if full && self.turned.0 == 0 {
+            self.turned.1 = now;
+        }
+        self.turned.0 = if full { self.turned.0 + 1 } else { 0 };
+        // Departure (nothing was let in for longer than a limit lasts): it is shut, and tells nobody.
+        let untold = self.turned.0 >= SHUT_RUN && now - self.turned.1 > SHUT_WAIT;
+        // Departure (a sender that began anew is turned away at once): it may have known of an outage.
+        let resumed = std::mem::take(&mut self.resumed);
+        outcome != Outcome::Ok && (resumed || (full && (wait > SHUT_WAIT || untold)))
+    }
+
     /// The drop probability; `overdue` calls weigh as requests not accepted until they are known.
     fn drop_probability(&mut self, now: Millis, overdue: usize) -> f64 {
         let (requests, accepts) = self.counts(now);
@@ -445,6 +450,7 @@
         }
         let destination = message.destination;
         let maybe_ran = past.may_have_run.map(|ran| (self.now - ran.ago, ran.route, ran.zone));
+        self.destinations.entry(destination).or_default().shared.resumed |= past.attempts > 0;
         let past = Held { attempts: past.attempts, maybe_ran, ..Held::default() };
         let held = Held { class, worth, destination, key, aim_at, ends_at, ..past };
         self.messages.insert(message.id, held);
@@ -623,7 +629,6 @@
     /// What a call's outcome tells of its gate and its route.
     fn judge(&mut self, d: &mut Destination, index: usize, sent_at: Millis, outcome: Outcome, wait: Millis) {
         let now = self.now;
-        let part = self.part(d, index);
         let fair = d.gate(index).told / self.settings.peers_total as f64;
         let accept = matches!(outcome, Outcome::Ok | Outcome::Error);
         let gate = d.gate_mut(index);
@@ -631,59 +636,108 @@
         if outcome == Outcome::Full {
             gate.cut(now, fair * PACE_FLOOR);
         }
-        let route = &mut d.routes[index];
-        if outcome != Outcome::Timeout && outcome != Outcome::ConnectFailed {
-            route.answered_at = now;
-        }
-        let down = matches!(route.health, Health::Down(_));
-        if outcome == Outcome::Full && !down && wait <= SHUT_WAIT {
-            return;
-        }
-        if accept {
-            let error = f64::from(u8::from(outcome == Outcome::Error));
-            route.errors += ERROR_WEIGHT * (error - route.errors);
+        let shut = gate.tells_of_outage(now, outcome, wait);
+        self.note(d, index, sent_at, outcome, shut);
+        for scope in d.scopes(index) {
+            let health = d.health(scope);
+            let tells = match outcome {
+                // Good answers among errors do not warm it.
+                Outcome::Ok => health.is_cold() && health.errs(),
+                Outcome::Full => shut || health.is_down(),
+                _ => true,
+            };
+            if !shut && !health.concerns(sent_at) {
+                break;
+            }
+            if tells && self.fails(d, scope, shut) {
+                // What concerns all routes of a gate is not laid to each of them.
+                break;
+            }
         }
         if outcome == Outcome::Ok {
-            route.failures = 0;
-            if down {
-                // Departure (an outage was seen): from the first answer on the ramp bounds what it gets.
-                (route.health, route.ramp_at) = (Health::Cold(now, part), now);
-                d.gate_mut(index).events.clear();
-            }
             let gate = d.gate_mut(index);
             let off = (now - sent_at) - gate.latency;
             gate.latency += off / 8.0;
             gate.deviation += (off.abs() - gate.deviation) / 4.0;
-            return;
         }
-        if route.failures == 0 {
-            route.failing_since = sent_at;
+    }
+
+    /// Takes an outcome into the counts of a route and of all that share its gate; it may tell of a return.
+    fn note(&self, d: &mut Destination, index: usize, sent_at: Millis, outcome: Outcome, shut: bool) {
+        for scope in d.scopes(index) {
+            let health = d.health_mut(scope);
+            if outcome != Outcome::Timeout && outcome != Outcome::ConnectFailed {
+                health.answered_at = self.now;
+            }
+            if outcome == Outcome::Ok && health.proves_return(sent_at) {
+                // Departure (an outage was seen): from the first answer on the ramp bounds what it gets, but no
+                // earlier than the wait that was told is over.
+                let (since, part) = (self.now.max(d.gate(index).wait_until), self.part(d, scope));
+                d.health_mut(scope).cold(since, part);
+                d.gate_mut(index).events.clear();
+            } else if !shut && !health.concerns(sent_at) {
+                // It was sent before the outage: nothing that it says of any route is new.
+                return;
+            }
+            let health = d.health_mut(scope);
+            if shut || outcome != Outcome::Full || health.is_down() {
+                health.note(sent_at, outcome);
+            }
         }
-        route.failures += 1;
-        if route.failures >= DOWN_RUN || down || wait > SHUT_WAIT {
-            self.rest(d, index, 0.0);
-        } else if route.errors > ERROR_LINE {
+    }
+
+    /// Whether a failure that was noted makes out an outage of this scope, or one goes on.
+    fn fails(&mut self, d: &mut Destination, scope: Scope, shut: bool) -> bool {
+        let health = d.health(scope);
+        // A gate that is not up has shown that it is more than one route.
+        let whole = health.state != State::Up || d.most(scope, Health::ails);
+        if shut || health.is_down() || (health.failed_often() && whole) {
+            self.rest(d, scope, 0.0, false);
+        } else if health.errs() && whole {
             // Departure (about half the answers are errors, which count as accepts): it may come back cold.
-            route.health = Health::Cold(now, part);
+            let part = self.part(d, scope);
+            d.health_mut(scope).cold(self.now, part);
+        } else {
+            return false;
+        }
+        if scope == Scope::All {
+            d.routes.iter_mut().for_each(|r| r.health.clear());
         }
+        true
     }
 
     /// Our part of a destination in an outage: what waits here against what was told to come since it began.
-    fn part(&self, d: &Destination, index: usize) -> f64 {
-        let told = d.gate(index).told;
-        let all = told * (self.now - d.routes[index].failing_since) / 1_000.0;
+    fn part(&self, d: &Destination, scope: Scope) -> f64 {
+        let told = d.gate_of(scope).told;
+        let all = told * (self.now - d.health(scope).failing_since) / 1_000.0;
         let equal = 1.0 / self.settings.peers_total as f64;
         (d.waiting.len().max(1) as f64 / all.max(1.0)).clamp(equal, equal.max(MOST_PART))
     }
 
-    /// The route is down; its next trial comes after a pause, `least` at the least.
-    fn rest(&mut self, d: &mut Destination, index: usize, least: Millis) {
-        let gate = d.gate(index);
-        let mean = (TRIAL_CALLS * 1_000.0 / (gate.told * self.part(d, index))).max(TRIAL_PAUSE);
-        // At the end of a told wait there is room, until others have taken it: no better moment for a trial.
-        let (told, again) = (gate.wait_until, gate.draw_at);
-        let trial_at = if told > self.now { again } else { self.now + self.pause(mean).max(least) };
-        d.routes[index].health = Health::Down(trial_at);
+    /// It is down; the next trial comes after a pause, `least` at the least.
+    fn rest(&mut self, d: &mut Destination, scope: Scope, least: Millis, silent: bool) {
+        let (gate, part) = (d.gate_of(scope), self.part(d, scope));
+        let mean = (TRIAL_CALLS * 1_000.0 / (gate.told * part)).max(TRIAL_PAUSE);
+        // At the end of a told wait there is room, until others have taken it: no better moment for a trial. All
+        // who were told come then, and it is cold: together they ask no faster than the ramp begins.
+        let (told, apart) = (gate.wait_until, (1_000.0 / self.ramp(gate.told * part, 0.0)).min(TRIAL_SPREAD));
+        let trial_at = if told > self.now {
+            told + apart * self.random()
+        } else {
+            self.now + self.pause(mean).max(least)
+        };
+        d.health_mut(scope).rest(self.now, trial_at, silent);
+    }
+
+    /// Calls a second of a ramp that began so long ago, out of so many in full.
+    fn ramp(&self, full: f64, since: Millis) -> f64 {
+        let warmth = self.settings.cold_from + (1.0 - self.settings.cold_from) * self.warm(since);
+        RAMP_PART * self.settings.fall_multiple / self.rough() * warmth * full
+    }
+
+    /// How far a destination is warm so long after its return: 1 when it is.
+    fn warm(&self, since: Millis) -> f64 {
+        (since / self.settings.warm_within.max(1.0)).clamp(0.0, 1.0)
     }
 
     fn rough(&self) -> f64 {
@@ -700,6 +754,39 @@
         if self.apart { &mut self.routes[route].gate } else { &mut self.shared }
     }
 
+    /// Whose health counts for a route, the widest first.
+    fn scopes(&self, route: usize) -> impl Iterator<Item = Scope> + use<> {
+        (!self.apart).then_some(Scope::All).into_iter().chain([Scope::Route(route)])
+    }
+
+    fn health(&self, scope: Scope) -> &Health {
+        match scope {
+            Scope::Route(route) => &self.routes[route].health,
+            Scope::All => &self.shared.health,
+        }
+    }
+
+    fn health_mut(&mut self, scope: Scope) -> &mut Health {
+        match scope {
+            Scope::Route(route) => &mut self.routes[route].health,
+            Scope::All => &mut self.shared.health,
+        }
+    }
+
+    fn gate_of(&self, scope: Scope) -> &Gate {
+        match scope {
+            Scope::Route(route) => self.gate(route),
+            Scope::All => &self.shared,
+        }
+    }
+
+    /// Whether this holds for a route, or for most of the routes that are ready.
+    fn most(&self, scope: Scope, holds: impl Fn(&Health) -> bool) -> bool {
+        let Scope::All = scope else { return holds(self.health(scope)) };
+        let ready = || self.routes.iter().filter(|r| r.listing == Listing::Ready);
+        ready().filter(|r| holds(&r.health)).count() * 2 > ready().count()
+    }
+
     /// A call out for longer than is usual there.
     fn overdue_after(&self, route: usize) -> Millis {
         let gate = self.gate(route);
@@ -719,23 +806,43 @@
     }
 
     fn down(&self, route: usize) -> bool {
-        matches!(self.routes[route].health, Health::Down(_))
+        self.scopes(route).any(|scope| self.health(scope).is_down())
     }
 
     /// Calls overdue with nothing heard of the route since they were sent.
-    fn silent(&self, route: usize, now: Millis) -> usize {
+    fn unheard(&self, route: usize, now: Millis) -> usize {
         let r = &self.routes[route];
-        self.overdue(route, now).filter(|c| c.route == r.id && c.sent_at >= r.answered_at).count()
+        self.overdue(route, now).filter(|c| c.route == r.id && c.sent_at >= r.health.answered_at).count()
+    }
+
+    /// Whether so many calls are unheard that a route, or most routes of a shared gate, must be down.
+    fn silent(&self, scope: Scope, now: Millis) -> bool {
+        match scope {
+            Scope::Route(route) => !self.down(route) && self.unheard(route, now) >= SILENT_CALLS,
+            Scope::All if self.shared.health.is_down() => false,
+            Scope::All => {
+                let ready = |r: &usize| self.routes[*r].listing == Listing::Ready;
+                let ready: Vec<usize> = (0..self.routes.len()).filter(ready).collect();
+                let unheard = |&r: &usize| self.unheard(r, now);
+                let quiet = |r: &&usize| unheard(r) > 0 || self.routes[**r].health.is_down();
+                ready.iter().map(unheard).sum::<usize>() >= SILENT_CALLS
+                    && ready.iter().filter(quiet).count() * 2 > ready.len()
+            }
+        }
     }
 
     /// From when on a route could take a call, as far as its gate and health are concerned.
     fn opens_at(&self, index: usize) -> Millis {
         let (route, gate) = (&self.routes[index], self.gate(index));
-        let at = match route.health {
-            Health::Up => gate.draw_at,
-            Health::Down(trial_at) => trial_at,
-            Health::Cold(..) => gate.draw_at.max(route.ramp_at),
-        };
+        let mut at = if self.down(index) { f64::NEG_INFINITY } else { gate.draw_at };
+        for scope in self.scopes(index) {
+            let health = self.health(scope);
+            at = at.max(match health.state {
+                State::Up => f64::NEG_INFINITY,
+                State::Down { trial_at, .. } => trial_at,
+                State::Cold { .. } => health.ramp_at,
+            });
+        }
         if route.listing == Listing::Ready { at.max(gate.wait_until) } else { f64::INFINITY }
     }
 }
@@ -772,10 +879,15 @@
 
     fn serve(&mut self, d: &mut Destination, mut queue: VecDeque<MessageId>, actions: &mut Vec<Action>) {
         // Departure (calls overdue, nothing heard since): a silent route is down before its time-outs come.
-        for index in 0..d.routes.len() {
-            if !d.down(index) && d.silent(index, self.now) >= SILENT_CALLS {
-                d.routes[index].failing_since = self.now;
-                self.rest(d, index, 0.0);
+        let all = if d.apart { None } else { Some(Scope::All) };
+        for scope in all.into_iter().chain((0..d.routes.len()).map(Scope::Route)) {
+            if !d.silent(scope, self.now) {
+                continue;
+            }
+            d.health_mut(scope).failing_since = self.now;
+            self.rest(d, scope, 0.0, true);
+            if scope == Scope::All {
+                d.routes.iter_mut().for_each(|r| r.health.clear());
             }
         }
         while let Some(message) = queue.pop_front() {
@@ -834,9 +946,12 @@
         order.sort_by_key(|&index| {
             let (r, now) = (&d.routes[index], self.now);
             // A failure of late sends the next call to a sister: one of hundreds rarely sees four in a row.
-            let ill = d.down(index) || (r.failures > 0 && now - r.used_at < WINDOW);
+            let ill = d.down(index) || (r.health.failing() && now - r.used_at < WINDOW);
             let far = r.zone != self.settings.zone;
-            (d.down(index), ill, r.health != Health::Up, far, r.out, Reverse(r.used_at as u64), r.id)
+            // Where all are down, each is asked in turn.
+            let asked = if d.shared.health.is_down() { r.used_at as u64 } else { 0 };
+            let worse = (d.down(index), ill, r.health.state != State::Up);
+            (worse, asked, far, r.out, Reverse(r.used_at as u64), r.id)
         });
         for index in order {
             if d.down(index) {
@@ -868,20 +983,22 @@
         let limited = gate.draw_at > now - BURST;
         gate.draw_at = gate.draw_at.max(now - BURST) + self.pause(1_000.0 / gate.pace);
         d.waiting.retain(|id| !bundle.contains(id));
-        match d.routes[index].health {
-            Health::Up => {}
-            // One trial at a time: one that is overdue no longer counts.
-            Health::Down(_) => self.rest(d, index, d.overdue_after(index)),
-            Health::Cold(since, part) => {
-                // It has at least this share of its capacity so long after its return.
-                let warm = (now - since) / self.settings.warm_within.max(1.0);
-                let warmth = (self.settings.cold_from + (1.0 - self.settings.cold_from) * warm).min(1.0);
-                let multiple = RAMP_PART * self.settings.fall_multiple / self.rough();
-                let ready = d.routes.iter().filter(|r| r.listing == Listing::Ready && !d.apart).count();
-                let rate = multiple * warmth * part * d.gate(index).told / ready.max(1) as f64;
-                d.routes[index].ramp_at = now + self.pause(1_000.0 / rate);
-                if warmth >= 1.0 {
-                    d.routes[index].health = Health::Up;
+        for scope in d.scopes(index) {
+            match d.health(scope).state {
+                State::Up => {}
+                // One trial at a time: one that is overdue no longer counts.
+                State::Down { .. } => self.rest(d, scope, d.overdue_after(index), false),
+                State::Cold { since, part } => {
+                    // It has at least this share of its capacity so long after its return.
+                    let ready = d.routes.iter().filter(|r| r.listing == Listing::Ready).count();
+                    let sisters = if d.apart || scope == Scope::All { 1 } else { ready.max(1) };
+                    let rate = self.ramp(part * d.gate(index).told / sisters as f64, now - since);
+                    let ramp_at = now + self.pause(1_000.0 / rate);
+                    let health = d.health_mut(scope);
+                    health.ramp_at = ramp_at;
+                    if self.warm(now - since) >= 1.0 {
+                        health.state = State::Up;
+                    }
                 }
             }
         }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -83,6 +83,7 @@
 #![warn(missing_docs)]
 
 mod decide;
+mod health;
 pub mod interface;
 pub mod settings;
 
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings for tests, and a checker of the rules over a sender's events and actions.
 #![allow(dead_code)]
 
+pub mod partner;
+
 use std::collections::BTreeMap;
 
 use rudderspindle_decide::Sender;
@@ -167,18 +169,19 @@
         done
     }
 
+    /// A message with so many attempts behind it, none of which ran.
+    fn note_taken(&mut self, m: &Message, attempts: u32) {
+        let never = |_| Try { route: RouteId(0), sent_at: self.now, outcome: Some(Outcome::ConnectFailed) };
+        let attempts = (0..attempts).map(never).collect();
+        let (message, ends_at) = (m.clone(), self.now + m.time_left);
+        self.taken.insert(m.id, Taken { message, ends_at, attempts, ended: false });
+        self.order.push(m.id);
+    }
+
     fn note(&mut self, event: &Event) {
         match event {
-            Event::Message(m) => {
-                let taken = Taken {
-                    message: m.clone(),
-                    ends_at: self.now + m.time_left,
-                    attempts: vec![],
-                    ended: false,
-                };
-                self.taken.insert(m.id, taken);
-                self.order.push(m.id);
-            }
+            Event::Message(m) => self.note_taken(m, 0),
+            Event::Recovered(m, past) => self.note_taken(m, past.attempts),
             Event::Dropped(id) => {
                 self.taken.entry(*id).and_modify(|t| t.ended = true);
             }
--- /dev/null
+++ b/crates/decide/tests/common/partner.rs
@@ -0,0 +1,322 @@
+//! A partner in simulated time and the senders that call it: how hard is it pushed when it comes back?
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use rudderspindle_decide::Sender;
+use rudderspindle_decide::interface::*;
+
+use super::{class, settings};
+
+const TICK: Millis = 5.0;
+/// A call that is turned away, or fails at once, is known after this time.
+const QUICK: Millis = 10.0;
+const WARM_WITHIN: Millis = 9_300.0;
+const COLD_FROM: f64 = 0.17;
+const FALL_MULTIPLE: f64 = 2.5;
+const TIP_AFTER: Millis = 3_000.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    /// All calls are refused; this share of the refusals tells when it opens.
+    Shut { tells: f64 },
+    /// Connections are refused.
+    Refuse,
+    /// Nothing is answered.
+    Silent,
+    /// This share of the calls fails.
+    Errors { share: f64 },
+}
+
+/// An evening at one partner.
+#[derive(Clone, Debug)]
+pub struct Scene {
+    pub seed: u64,
+    pub senders: usize,
+    /// Calls a second that it takes, as the list tells.
+    pub told: f64,
+    pub routes: u64,
+    pub apart: bool,
+    pub trouble: Trouble,
+    /// Which routes it strikes.
+    pub struck: std::ops::Range<u64>,
+    pub from: Millis,
+    pub until: Millis,
+    /// Messages a second over what the partner takes.
+    pub load: f64,
+    pub work: Millis,
+    /// A sender that begins anew then, and has forgotten all but its messages.
+    pub restart: Option<(usize, Millis)>,
+    /// Routes that the list adds then, under new ids.
+    pub added: Option<(u64, Millis)>,
+    pub ends: Millis,
+}
+
+impl Scene {
+    /// A scene whose figures lie within those seen in service.
+    pub fn draw(seed: u64, trouble: impl Fn(f64) -> Trouble) -> Self {
+        let mut draw = Draw::new(seed ^ 0x5ce0e);
+        let from = 6_000.0 + 2_000.0 * draw.unit();
+        let until = from + 7_600.0 + 6_400.0 * draw.unit();
+        let routes = 1 + (draw.unit() * 4.0) as u64;
+        Self {
+            seed,
+            senders: 2,
+            told: 6.0 + 18.0 * draw.unit(),
+            routes,
+            apart: false,
+            trouble: trouble(draw.unit()),
+            struck: 0..routes,
+            from,
+            until,
+            load: 0.45 + 0.5 * draw.unit(),
+            work: 60.0 + 240.0 * draw.unit(),
+            restart: None,
+            added: None,
+            ends: until + 14_000.0,
+        }
+    }
+}
+
+/// What was seen in a scene.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Largest number of calls in the fall time after the return, over what it could then do.
+    pub worst: f64,
+    /// When after the return that was, and how many calls it was.
+    pub worst_at: Millis,
+    pub worst_calls: usize,
+    /// Calls in the first second after the return.
+    pub first_second: usize,
+    /// Calls during the outage.
+    pub trials: usize,
+    pub asked: usize,
+    pub delivered: usize,
+    pub in_time: usize,
+    /// Calls refused above the limit while it was warm.
+    pub refused: usize,
+    /// Time and route of each call after the return.
+    pub came: Vec<(Millis, usize, u64)>,
+}
+
+pub struct Draw(ChaCha8Rng);
+
+impl Draw {
+    pub fn new(seed: u64) -> Self {
+        Self(ChaCha8Rng::seed_from_u64(seed))
+    }
+
+    pub fn unit(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+}
+
+struct Client {
+    sender: Sender,
+    events: Vec<Event>,
+    wake: Option<(Millis, u64)>,
+    /// Messages that have no end yet: class, when they were handed in, attempts.
+    open: BTreeMap<u32, (usize, Millis, u32)>,
+    starts: u64,
+}
+
+struct Due {
+    at: Millis,
+    client: usize,
+    starts: u64,
+    event: Event,
+    delivers: bool,
+}
+
+pub fn config(scene: &Scene) -> Settings {
+    let keyed = Effect::Keyed { group: KeyGroup::Zone, window: 15_000.0 };
+    let drop = Class { aim: 4_000.0, deadline: 12_000.0, ..class(keyed) };
+    let status = Class { worth: 3.0, deadline: 12_000.0, ..class(Effect::Safe) };
+    Settings {
+        peers_total: scene.senders,
+        slots: 64,
+        most_held: 800,
+        max_attempts: 12,
+        cold_from: COLD_FROM,
+        warm_within: WARM_WITHIN,
+        fall_multiple: FALL_MULTIPLE,
+        tip_after: TIP_AFTER,
+        tick: TICK,
+        ..settings(vec![drop, status])
+    }
+}
+
+fn listed(scene: &Scene, routes: std::ops::Range<u64>) -> Event {
+    let kind = u16::from(scene.apart);
+    let of = |r: u64| RouteEntry { rate: scene.told, ..super::entry(r + 1, 0, kind, (r % 2) as u8) };
+    super::list(routes.map(of).collect())
+}
+
+/// The part of its pace that it has so long after its return.
+fn warmth(since: Millis) -> f64 {
+    (COLD_FROM + (1.0 - COLD_FROM) * since / WARM_WITHIN).min(1.0)
+}
+
+/// Plays a scene to its end.
+pub fn play(scene: &Scene) -> Seen {
+    let mut draw = Draw::new(scene.seed);
+    let fresh = |n: usize, starts: u64| Client {
+        sender: Sender::new(config(scene), scene.seed * 64 + n as u64 * 8 + starts)
+            .expect("settings that work"),
+        events: vec![listed(scene, 0..scene.routes)],
+        wake: None,
+        open: BTreeMap::new(),
+        starts,
+    };
+    let mut clients: Vec<Client> = (0..scene.senders).map(|n| fresh(n, 0)).collect();
+    let mut due: Vec<Due> = Vec::new();
+    let (mut seen, mut next_id, mut next_message) = (Seen::default(), 0, 0.0);
+    let mut restart = scene.restart;
+    let mut added = scene.added;
+    let mut recent: VecDeque<Millis> = VecDeque::new();
+    let mut span = (0u64, 0.0);
+    let mut now = 0.0;
+    while now < scene.ends {
+        now += TICK;
+        if let Some((who, _)) = restart.take_if(|r| r.1 <= now) {
+            let open = std::mem::take(&mut clients[who].open);
+            clients[who] = fresh(who, clients[who].starts + 1);
+            for (id, (class, at, attempts)) in open {
+                let left = 12_000.0 - (now - at);
+                let past = Past { attempts, may_have_run: None };
+                if left > 0.0 {
+                    clients[who].events.push(Event::Recovered(handed_in(id, class, left), past));
+                    clients[who].open.insert(id, (class, at, attempts));
+                }
+            }
+        }
+        if let Some((routes, _)) = added.take_if(|a| a.1 <= now) {
+            let more = listed(scene, 0..scene.routes + routes);
+            clients.iter_mut().for_each(|c| c.events.push(more.clone()));
+        }
+        while next_message <= now && now < scene.ends - 4_000.0 {
+            next_message += draw.exponential(1_000.0 / (scene.load * scene.told));
+            let to = (draw.unit() * scene.senders as f64) as usize;
+            let class = usize::from(draw.unit() < 0.44);
+            clients[to].events.push(Event::Message(handed_in(next_id, class, 12_000.0)));
+            clients[to].open.insert(next_id, (class, now, 0));
+            (next_id, seen.asked) = (next_id + 1, seen.asked + 1);
+        }
+        due.sort_by(|a, b| a.at.total_cmp(&b.at));
+        while due.first().is_some_and(|d| d.at <= now) {
+            let d = due.remove(0);
+            if clients[d.client].starts != d.starts {
+                continue;
+            }
+            if let (true, Event::Outcome { id, .. }) = (d.delivers, &d.event)
+                && let Some((class, at, _)) = clients[d.client].open.remove(&id.0)
+            {
+                seen.delivered += 1;
+                seen.in_time += usize::from(now - at <= [4_000.0, 2_000.0][class]);
+            }
+            clients[d.client].events.push(d.event);
+        }
+        for (n, client) in clients.iter_mut().enumerate() {
+            if let Some((_, token)) = client.wake.take_if(|w| w.0 <= now) {
+                client.events.push(Event::Wake(token));
+            }
+            if client.events.is_empty() {
+                continue;
+            }
+            let mut actions = Vec::new();
+            client.sender.handle(now, &std::mem::take(&mut client.events), &mut actions);
+            for action in actions {
+                match action {
+                    Action::Wake { delay, token } => client.wake = Some((now + delay, token)),
+                    Action::Refuse { id, .. } | Action::Fail { id } => drop(client.open.remove(&id.0)),
+                    Action::Send { id, route, timeout } => {
+                        let Some(entry) = client.open.get_mut(&id.0) else { panic!("{id:?} was over") };
+                        let attempt = entry.2;
+                        entry.2 += 1;
+                        let struck = scene.struck.contains(&(route.0 - 1));
+                        let on = (scene.from..scene.until).contains(&now) && struck;
+                        seen.trials += usize::from(on);
+                        if now >= scene.until && now < scene.until + WARM_WITHIN {
+                            push(&mut seen, &mut recent, now - scene.until, scene.told);
+                            seen.came.push((now - scene.until, n, route.0));
+                        }
+                        let (after, what, wait) =
+                            answer(scene, now, on, timeout, &mut span, &mut draw, &mut seen);
+                        let delivers = what == Outcome::Ok;
+                        let event = super::outcome(id.0, attempt, what, wait);
+                        let starts = client.starts;
+                        due.push(Due { at: now + after, client: n, starts, event, delivers });
+                    }
+                    Action::Cancel { .. } | Action::Probe { .. } | Action::Subscribe => {}
+                }
+            }
+        }
+    }
+    seen
+}
+
+fn handed_in(id: u32, class: usize, time_left: Millis) -> Message {
+    Message {
+        id: MessageId(id),
+        class,
+        tenant: 0,
+        ordering_key: 0,
+        time_left,
+        work_guess: None,
+        destination: DestinationId(0),
+    }
+}
+
+fn answer(
+    scene: &Scene,
+    now: Millis,
+    on: bool,
+    timeout: Millis,
+    span: &mut (u64, f64),
+    draw: &mut Draw,
+    seen: &mut Seen,
+) -> (Millis, Outcome, Millis) {
+    match scene.trouble {
+        Trouble::Shut { tells } if on => {
+            let wait = if draw.unit() < tells { scene.until - now } else { 0.0 };
+            return (QUICK, Outcome::Full, wait);
+        }
+        Trouble::Refuse if on => return (QUICK, Outcome::ConnectFailed, 0.0),
+        Trouble::Silent if on => return (timeout, Outcome::Timeout, 0.0),
+        Trouble::Errors { share } if on && draw.unit() < share => return (QUICK, Outcome::Error, 0.0),
+        _ => {}
+    }
+    // A count in each second; refused calls use it up too.
+    let this = (now / 1_000.0) as u64;
+    if span.0 != this {
+        *span = (this, 0.0);
+    }
+    span.1 += 1.0;
+    if span.1 > scene.told.max(1.0) {
+        seen.refused += 1;
+        let left = (this + 1) as f64 * 1_000.0 - now;
+        return (QUICK, Outcome::Full, if draw.unit() < 0.3 { left } else { 0.0 });
+    }
+    let pace = if now >= scene.until { warmth(now - scene.until) } else { 1.0 };
+    let work = (scene.work / 3.0 + draw.exponential(scene.work * 2.0 / 3.0)) / pace;
+    if work > timeout { (timeout, Outcome::Timeout, 0.0) } else { (work, Outcome::Ok, 0.0) }
+}
+
+/// Counts a call that comes so long after the return.
+fn push(seen: &mut Seen, recent: &mut VecDeque<Millis>, since: Millis, told: f64) {
+    recent.push_back(since);
+    while recent.front().is_some_and(|&at| at + TIP_AFTER < since) {
+        recent.pop_front();
+    }
+    let can = told * TIP_AFTER / 1_000.0 * (warmth((since - TIP_AFTER).max(0.0)) + warmth(since)) / 2.0;
+    let ratio = recent.len() as f64 / can;
+    seen.first_second += usize::from(since < 1_000.0);
+    if ratio > seen.worst {
+        (seen.worst, seen.worst_at, seen.worst_calls) = (ratio, since, recent.len());
+    }
+}
--- a/crates/rig/src/evening.rs
+++ b/crates/rig/src/evening.rs
@@ -5,7 +5,7 @@
 
 use indicatif::{ProgressBar, ProgressStyle};
 use rudderspindle_standin::evidence;
-use rudderspindle_standin::judge::{Accounting, Verdict, judge};
+use rudderspindle_standin::judge::{Accounting, Return, Verdict, judge};
 use rudderspindle_standin::program::Launch;
 use rudderspindle_standin::script::Script;
 use rudderspindle_standin::world::{Played, Stage, World};
@@ -20,7 +20,22 @@
 /// A round on which the stand-ins were late is played again so often.
 const AGAIN: u32 = 2;
 
-pub async fn run(common: &Common) -> Result<Report, RigError> {
+/// What an evening may have to draw to be played.
+#[derive(Clone, Copy, Debug, clap::ValueEnum)]
+pub enum Having {
+    /// A partner whose endpoints share one limit is shut, or refuses connections, as a whole.
+    SharedOutage,
+}
+
+impl Having {
+    fn holds(self, script: &Script) -> bool {
+        match self {
+            Self::SharedOutage => script.has_shared_outage(),
+        }
+    }
+}
+
+pub async fn run(common: &Common, having: Option<Having>) -> Result<Report, RigError> {
     let (first, binary) = (common.seed(), common.sender()?);
     let mut report = Report::new("evening", first);
     let mut total = Accounting::default();
@@ -31,9 +46,12 @@
     );
     bar.enable_steady_tick(Duration::from_millis(500));
     let (mut late, mut peak_kib) = (0, 0);
-    for seed in first..first.saturating_add(common.rounds) {
+    let mut returns: Vec<Return> = Vec::new();
+    let draw = |seed| (seed, Script::evening(seed, common.seconds.unwrap_or(SECONDS)));
+    let wanted = |script: &Script| having.is_none_or(|having| having.holds(script));
+    let scripts = (first..=u64::MAX).map(draw).filter(|(_, script)| wanted(script));
+    for (seed, script) in scripts.take(common.rounds as usize) {
         bar.set_message(format!("evening {seed}"));
-        let script = Script::evening(seed, common.seconds.unwrap_or(SECONDS));
         let mut tries = 0;
         let (played, verdict) = loop {
             let folder = tempfile::tempdir()?;
@@ -57,6 +75,7 @@
         if !verdict.in_doubt() {
             check(&mut report, seed, &played, &verdict, common.keep.as_deref());
             add(&mut total, &verdict.accounting);
+            returns.extend(verdict.returns);
         }
         bar.inc(1);
     }
@@ -77,6 +96,13 @@
     ] {
         report.figure(name, value);
     }
+    let worst = |of: &dyn Fn(&Return) -> bool| {
+        returns.iter().filter(|r| of(r)).map(|r| r.worst_ratio).fold(0.0, f64::max)
+    };
+    let shut_or_refused = |r: &Return| r.shared && matches!(r.kind.as_str(), "shut" | "refuse");
+    report.figure("return_worst_ratio", worst(&|_| true));
+    report.figure("return_worst_shared_shut_or_refused_ratio", worst(&shut_or_refused));
+    report.figure("returns_count", returns.len());
     let share = |part: u64, of: u64| part as f64 / of.max(1) as f64;
     report.figure("in_time_share", share(total.in_time, total.handed_in));
     report.figure("calls_refused_share", share(total.calls_refused, total.calls));
@@ -125,6 +151,7 @@
         println!("  {happening:?}");
     }
     print!("{verdict}");
+    println!("evening {seed}: return_worst_ratio {:.2}", verdict.return_worst_ratio());
     for failed in &played.failed {
         println!("FAILED: {failed}");
     }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -24,7 +24,13 @@
 #[derive(Debug, Subcommand)]
 enum What {
     /// An evening against two sender processes, with troubles drawn from the seed, judged.
-    Evening(Common),
+    Evening {
+        #[command(flatten)]
+        common: Common,
+        /// Plays only seeds that draw this; others are passed over and count for no round.
+        #[arg(long)]
+        having: Option<evening::Having>,
+    },
     /// What a message costs the sender on one core, beside a bare relay.
     Load {
         #[command(flatten)]
@@ -112,7 +118,7 @@
 fn run(what: &What) -> Result<bool, RigError> {
     let runtime = || tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let (report, common): (Report, &Common) = match what {
-        What::Evening(common) => (runtime()?.block_on(evening::run(common))?, common),
+        What::Evening { common, having } => (runtime()?.block_on(evening::run(common, *having))?, common),
         What::Load { common, load } => (runtime()?.block_on(load::run(common, load))?, common),
         What::Relay { to } => return Ok(relay::run(to).map(|()| true)?),
     };
--- a/crates/standin/src/judge.rs
+++ b/crates/standin/src/judge.rs
@@ -103,6 +103,24 @@
     pub calls_refused: u64,
 }
 
+/// How hard a gate was pushed when it came back from an outage of all its endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Return {
+    /// The partner, and the endpoint if it is apart.
+    pub gate: String,
+    /// Whether the endpoints of a partner come back together, as they share its limit.
+    pub shared: bool,
+    /// What kind of outage it was.
+    pub kind: String,
+    /// When it came back, microseconds.
+    pub at_us: u64,
+    /// The largest number of calls within the time after which it falls, over what it could do in that time; of all
+    /// senders, whether they knew of the outage or not.
+    pub worst_ratio: f64,
+    /// That number of calls.
+    pub worst_calls: usize,
+}
+
 /// What the judge says.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Verdict {
@@ -112,6 +130,8 @@
     pub breaches: Vec<Breach>,
     /// How late a stand-in was at the most, microseconds.
     pub late_us: u64,
+    /// Every return from an outage, in the order of the log.
+    pub returns: Vec<Return>,
 }
 
 impl Verdict {
@@ -125,6 +145,11 @@
         self.breaches.is_empty() && self.accounting.lost == 0 && self.accounting.doubled == 0
     }
 
+    /// The hardest push on any gate that came back, 0 if none did.
+    pub fn return_worst_ratio(&self) -> f64 {
+        self.returns.iter().map(|r| r.worst_ratio).fold(0.0, f64::max)
+    }
+
     /// The rules that were broken.
     pub fn broken(&self) -> BTreeSet<Rule> {
         self.breaches.iter().map(|b| b.rule).collect()
@@ -157,6 +182,13 @@
                 writeln!(f, "    and {} more", breaches.len() - 5)?;
             }
         }
+        for r in &self.returns {
+            writeln!(
+                f,
+                "{} back from {:<8} return_worst_ratio {:.2}  ({} calls)",
+                r.gate, r.kind, r.worst_ratio, r.worst_calls
+            )?;
+        }
         if self.in_doubt() {
             writeln!(f, "late: a stand-in was {} ms behind; this run says nothing", self.late_us / 1_000)?;
         }
@@ -250,8 +282,8 @@
 struct Outage {
     /// Endpoints of the gate that are in one.
     struck: BTreeSet<String>,
-    /// When the last one returned, after all were struck.
-    returned: Option<u64>,
+    /// When the last one returned, after all were struck, and where the verdict says how.
+    returned: Option<(u64, usize)>,
     all_struck: bool,
     /// Senders that saw it.
     seen_by: BTreeSet<String>,
@@ -346,7 +378,7 @@
             }
             Event::Noticed { txn, status, taken: true, .. } => self.noticed(n, t, txn, status),
             Event::Noticed { .. } => {}
-            Event::Outage { endpoint, on, .. } => self.outage(t, endpoint, *on),
+            Event::Outage { endpoint, kind, on } => self.outage(t, endpoint, kind, *on),
             Event::Sender { sender, life } => self.life(t, sender, *life),
             Event::Late { by_us, .. } => self.verdict.late_us = self.verdict.late_us.max(*by_us),
         }
@@ -696,9 +728,13 @@
         self.endpoints.get(endpoint).map(gate_of)
     }
 
-    fn outage(&mut self, t: u64, endpoint: &str, on: bool) {
+    fn outage(&mut self, t: u64, endpoint: &str, kind: &str, on: bool) {
         let Some(gate) = self.gate(endpoint) else { return };
         let members = self.gates.get(&gate).map_or(0, BTreeSet::len);
+        let (name, shared) = match &gate {
+            Gate::Endpoint(id) => (id.clone(), false),
+            Gate::Partner(number) => (format!("partner {number}"), true),
+        };
         let outage = self.outages.entry(gate).or_default();
         if on {
             if outage.struck.is_empty() {
@@ -709,7 +745,10 @@
         } else {
             outage.struck.remove(endpoint);
             if outage.struck.is_empty() && outage.all_struck {
-                outage.returned = Some(t);
+                outage.returned = Some((t, self.verdict.returns.len()));
+                let (kind, at_us, worst_ratio, worst_calls) = (kind.to_owned(), t, 0.0, 0);
+                let r = Return { gate: name, shared, kind, at_us, worst_ratio, worst_calls };
+                self.verdict.returns.push(r);
             }
         }
     }
@@ -727,7 +766,7 @@
         let per_s = self.endpoints[endpoint].per_s;
         let Rules { fall_multiple, fall_ms, cold_from, warm_ms, .. } = self.rules;
         let Some(outage) = self.outages.get_mut(&gate) else { return };
-        let Some(returned) = outage.returned.filter(|_| !outage.fallen) else { return };
+        let Some((returned, index)) = outage.returned else { return };
         if t > returned + us(warm_ms) {
             return;
         }
@@ -745,7 +784,11 @@
         // A span that began before it came back is filled up at the share that it had then.
         let seconds = span as f64 / 1e6;
         let can = per_s * seconds * (share(from) + share(t)) / 2.0;
-        if outage.came.len() as f64 <= fall_multiple * can + FALL_SLACK {
+        let ratio = outage.came.len() as f64 / can;
+        if let Some(r) = self.verdict.returns.get_mut(index).filter(|r| ratio > r.worst_ratio) {
+            (r.worst_ratio, r.worst_calls) = (ratio, outage.came.len());
+        }
+        if outage.fallen || outage.came.len() as f64 <= fall_multiple * can + FALL_SLACK {
             return;
         }
         outage.fallen = true;
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -395,6 +395,17 @@
     }
 }
 
+impl Script {
+    /// Whether a partner whose endpoints share one limit is shut, or refuses connections, as a whole.
+    pub fn has_shared_outage(&self) -> bool {
+        let shared = |number: u16| self.partners.iter().any(|p| p.number == number && !p.apart);
+        self.happenings.iter().any(|h| {
+            matches!(h, Happening::Outage { partner, endpoints, outage: Outage::Shut | Outage::Refuse, .. }
+                if endpoints.is_empty() && shared(*partner))
+        })
+    }
+}
+
 /// Draws figures from a seed.
 #[derive(Clone, Debug)]
 pub struct Draw(ChaCha8Rng);
