--- /dev/null
+++ b/crates/daemon/tests/troubles.rs
@@ -0,0 +1,138 @@
+//! What a script does to agents and links, with real senders: it happens, it is in the log, and no rule is broken.
+
+use std::path::Path;
+use std::time::Duration;
+
+use rudderspindle_standin::evidence::{Event, Line};
+use rudderspindle_standin::judge::judge;
+use rudderspindle_standin::program::Launch;
+use rudderspindle_standin::script::Script;
+use rudderspindle_standin::world::{Stage, World};
+
+const SCRIPT: &str = r#"
+seed = 8
+seconds = 12
+senders = 2
+list_late_ms = 50
+
+[traffic]
+per_s = 16.0
+status_share = 0.5
+clumps = 0.0
+clump = 1
+retries = 0.0
+leave = 0.0
+bad_per_s = 1.0
+
+[[partners]]
+number = 1
+name = "well"
+apart = true
+per_s = 20.0
+limit = { kind = "rate" }
+tells = { share = 1.0 }
+work_ms = 80
+queue = 8
+connections = 32
+weight = 1.0
+endpoints = [{ id = "p1-0", hall = "hall-a" }, { id = "p1-1", hall = "hall-b" }]
+
+[[partners]]
+number = 2
+name = "gone"
+per_s = 10.0
+limit = { kind = "span", span_ms = 1000 }
+tells = { share = 0.0 }
+work_ms = 80
+queue = 8
+connections = 32
+weight = 0.5
+endpoints = [{ id = "p2-0", hall = "hall-a" }]
+
+# Its messages end with notices from about 5 s on.
+[[happenings]]
+what = "outage"
+at_ms = 500
+for_ms = 14000
+partner = 2
+outage = { kind = "refuse" }
+
+[[happenings]]
+what = "agent"
+at_ms = 5000
+for_ms = 2000
+sender = 1
+trouble = "refuses_notices"
+
+# Sender 0 does not hear of the drain until its agent speaks again.
+[[happenings]]
+what = "agent"
+at_ms = 2000
+for_ms = 2500
+sender = 0
+trouble = "silent"
+
+[[happenings]]
+what = "list"
+at_ms = 2500
+endpoint = "p1-1"
+phase = "DRAINING"
+
+[[happenings]]
+what = "move"
+at_ms = 8000
+sender = 0
+
+[[happenings]]
+what = "list"
+at_ms = 9800
+endpoint = "p1-1"
+phase = "DELETED"
+
+[[happenings]]
+what = "link"
+at_ms = 6000
+for_ms = 2000
+sender = 1
+partner = 1
+trouble = { kind = "lose_back" }
+"#;
+
+fn told(lines: &[Line], who: &str, what: &str) -> Option<u64> {
+    lines.iter().find_map(|line| match &line.event {
+        Event::Told { sender, phase, .. } if sender == who && phase == what => Some(line.t / 1_000),
+        _ => None,
+    })
+}
+
+#[tokio::test]
+async fn agents_and_links_fail_as_scripted_and_no_rule_is_broken() {
+    let script = Script::parse(SCRIPT, Path::new("troubles.toml")).expect("a script");
+    for again in 0.. {
+        assert!(again < 3, "the stand-ins were late three times: this machine is too busy to tell anything");
+        let folder = tempfile::tempdir().expect("a folder");
+        let launch = Launch::from(Path::new(env!("CARGO_BIN_EXE_rudderspindle")));
+        let stage = Stage { launch, folder: folder.path().to_owned(), longest: Duration::from_secs(5) };
+        let played = World::set_up(&script, &stage).await.expect("a world").play().await;
+        let (lines, verdict) = (&played.lines, judge(&played.lines));
+        if verdict.in_doubt() {
+            continue;
+        }
+        assert_eq!(played.failed, Vec::<String>::new());
+        assert!(verdict.clean() && verdict.accounting.open == 0, "{verdict}");
+        assert!(verdict.accounting.failed + verdict.accounting.refused > 0, "no notices:\n{verdict}");
+        // The one that is silent tells late; the other at once.
+        let (late, soon) = (told(lines, "n0", "DRAINING"), told(lines, "n1", "DRAINING"));
+        assert!(late.is_some_and(|t| (4_500..8_000).contains(&t)), "{late:?}");
+        assert!(soon.is_some_and(|t| (2_500..3_500).contains(&t)), "{soon:?}");
+        // Its sender has followed it to its other address.
+        let moved = told(lines, "n0", "DELETED");
+        assert!(moved.is_some_and(|t| t >= 9_800), "{moved:?}");
+        let untaken = |line: &&Line| matches!(&line.event, Event::Noticed { taken: false, sender, .. } if sender == "n1");
+        assert!(lines.iter().filter(untaken).count() > 0, "every notice was taken");
+        let cut_off =
+            lines.iter().filter(|line| matches!(&line.event, Event::Link { hides: true, .. })).count();
+        assert_eq!(cut_off, 4, "each of two links fails and is well again");
+        return;
+    }
+}
