--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -130,8 +130,9 @@
 /// Where requests and accepts are counted.
 #[derive(Clone, Debug, Default)]
 struct Gate {
-    /// What the window holds: when, requests, accepts.
+    /// What the window holds: when, requests, accepts; and the sum of it, which whole numbers keep exact.
     events: VecDeque<(Millis, f64, f64)>,
+    sum: (f64, f64),
     wait_until: Millis,
     draw_at: Millis,
     /// Calls a second that the list tells for all senders together, and the pace where nothing is known.
@@ -360,18 +361,23 @@
 
     fn count(&mut self, now: Millis, requests: f64, accepts: f64) {
         self.events.push_back((now, requests, accepts));
+        self.sum = (self.sum.0 + requests, self.sum.1 + accepts);
+    }
+
+    fn forget(&mut self) {
+        self.events.clear();
+        self.sum = (0.0, 0.0);
     }
 
     /// Requests and accepts of the window; with nothing in it the pace is that of a new gate again.
     fn counts(&mut self, now: Millis) -> (f64, f64) {
-        let mut sum = self.events.iter().fold((0.0, 0.0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
         while let Some(&(from, requests, accepts)) = self.events.front() {
-            let few = sum.0 - requests < WINDOW_REQUESTS;
+            let few = self.sum.0 - requests < WINDOW_REQUESTS;
             let age = (now - from) * self.haste;
             if age < WINDOW || (few && age < WINDOW_LONG) {
-                return sum;
+                return self.sum;
             }
-            sum = (sum.0 - requests, sum.1 - accepts);
+            self.sum = (self.sum.0 - requests, self.sum.1 - accepts);
             self.events.pop_front();
         }
         self.pace = self.start;
@@ -672,7 +678,7 @@
                 // earlier than the wait that was told is over.
                 let (since, part) = (self.now.max(d.gate(index).wait_until), self.part(d, scope));
                 d.health_mut(scope).cold(since, part);
-                d.gate_mut(index).events.clear();
+                d.gate_mut(index).forget();
             } else if !shut && !health.concerns(sent_at) {
                 // It was sent before the outage: nothing that it says of any route is new.
                 return;
