--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -674,8 +674,8 @@
                 health.answered_at = self.now;
             }
             if outcome == Outcome::Ok && health.proves_return(sent_at) {
-                // Departure (an outage was seen): from the first answer on the ramp bounds what it gets, but no
-                // earlier than the wait that was told is over.
+                // Departure (an outage was seen): from the first answer on the ramp bounds what it gets, but
+                // no earlier than the wait that was told is over.
                 let (since, part) = (self.now.max(d.gate(index).wait_until), self.part(d, scope));
                 d.health_mut(scope).cold(since, part);
                 d.gate_mut(index).forget();
@@ -722,8 +722,8 @@
     fn rest(&mut self, d: &mut Destination, scope: Scope, least: Millis, silent: bool) {
         let (gate, part) = (d.gate_of(scope), self.part(d, scope));
         let mean = (TRIAL_CALLS * 1_000.0 / (gate.told * part)).max(TRIAL_PAUSE);
-        // At the end of a told wait there is room, until others have taken it: no better moment for a trial. All
-        // who were told come then, and it is cold: together they ask no faster than the ramp begins.
+        // At the end of a told wait there is room, until others have taken it: no better moment for a trial.
+        // All who were told come then, and it is cold: together they ask no faster than the ramp begins.
         let (told, apart) = (gate.wait_until, (1_000.0 / self.ramp(gate.told * part, 0.0)).min(TRIAL_SPREAD));
         let trial_at = if told > self.now {
             told + apart * self.random()
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -1,9 +1,10 @@
 //! How a route fares, and how all routes of a shared gate fare together: failures, outages, trials, returns.
 //!
-//! The scope of an outage is that of the limit. Where routes are apart each has a [`Health`] of its own. Where
-//! they share a gate there is one more, of all of them: an outage that the gate tells of (a shut wait), or that
-//! most of its routes show, is the destination's, so there is one trial and one ramp, whichever route is used.
-//! Its state goes before that of a route, which still tells of a single route that fails beside sound ones.
+//! The scope of an outage is that of the limit. Where routes are apart each has a [`Health`] of its own.
+//! Where they share a gate there is one more, of all of them: an outage that the gate tells of (a shut wait),
+//! or that most of its routes show, is the destination's, so there is one trial and one ramp, whichever route
+//! is used. Its state goes before that of a route, which still tells of a single route that fails beside
+//! sound ones.
 
 use crate::interface::{Millis, Outcome, Trouble};
 
