--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -304,3 +304,39 @@
     };
     actions.iter().filter_map(pick).collect()
 }
+
+/// A call as a partner sees it: when after the scene's begin, which message, by which route.
+pub type Call = (Millis, u32, u64);
+
+/// Answers every call with what `answer` says (after how long, what, and the wait told) for so long.
+pub fn play_calls(
+    b: &mut Bench,
+    first: Vec<Event>,
+    span: Millis,
+    attempts: &mut BTreeMap<u32, u32>,
+    mut answer: impl FnMut(Millis, u64) -> (Millis, Outcome, Millis),
+) -> Vec<Call> {
+    let mut due: Vec<(Millis, Event)> = Vec::new();
+    let (mut events, mut calls, mut token) = (first, Vec::new(), 0);
+    let end = b.now + span;
+    while b.now < end {
+        events.push(Event::Wake(token));
+        for action in b.step(5.0, &std::mem::take(&mut events)) {
+            match action {
+                Action::Wake { token: t, .. } => token = t,
+                Action::Send { id, route, .. } => {
+                    let attempt = attempts.entry(id.0).or_default();
+                    let (after, seen, wait) = answer(b.now, route.0);
+                    due.push((b.now + after, outcome(id.0, *attempt, seen, wait)));
+                    calls.push((b.now, id.0, route.0));
+                    *attempt += 1;
+                }
+                _ => {}
+            }
+        }
+        let now = b.now;
+        events.extend(due.iter().filter(|d| d.0 <= now).map(|d| d.1.clone()));
+        due.retain(|d| d.0 > now);
+    }
+    calls
+}
--- a/crates/decide/tests/throttle.rs
+++ b/crates/decide/tests/throttle.rs
@@ -13,33 +13,13 @@
     first: Vec<Event>,
     span: Millis,
     answer: impl Fn(u32, u64) -> (Millis, Outcome),
-) -> Vec<(Millis, u32, u64)> {
-    let mut attempts: BTreeMap<u32, u32> = BTreeMap::new();
-    let mut due: Vec<(Millis, Event)> = Vec::new();
-    let mut events = first;
-    let mut calls = Vec::new();
-    let end = b.now + span;
-    let mut token = 0;
-    while b.now < end {
-        events.push(Event::Wake(token));
-        for action in b.step(10.0, &std::mem::take(&mut events)) {
-            match action {
-                Action::Wake { token: t, .. } => token = t,
-                Action::Send { id, route, .. } => {
-                    let attempt = attempts.entry(id.0).or_default();
-                    let (after, seen) = answer(calls.len() as u32, route.0);
-                    due.push((b.now + after, outcome(id.0, *attempt, seen, 0.0)));
-                    calls.push((b.now, id.0, route.0));
-                    *attempt += 1;
-                }
-                _ => {}
-            }
-        }
-        let now = b.now;
-        events.extend(due.iter().filter(|d| d.0 <= now).map(|d| d.1.clone()));
-        due.retain(|d| d.0 > now);
-    }
-    calls
+) -> Vec<Call> {
+    let mut calls = 0;
+    play_calls(b, first, span, &mut BTreeMap::new(), |_, route| {
+        let (after, seen) = answer(calls, route);
+        calls += 1;
+        (after, seen, 0.0)
+    })
 }
 
 fn safe() -> Settings {
