Scripted evenings in the daemon's tests are played in one place

Two test files set up the same world and asked again when the stand-ins were late; it is in tests/evening now.

--- a/crates/daemon/tests/returns.rs
+++ b/crates/daemon/tests/returns.rs
@@ -1,12 +1,8 @@
 //! A partner of four endpoints with one shared limit is shut and comes back cold, between two sender processes.
 
-use std::path::Path;
-use std::time::Duration;
+mod evening;
 
-use rudderspindle_standin::judge::{Verdict, judge};
-use rudderspindle_standin::program::Launch;
-use rudderspindle_standin::script::Script;
-use rudderspindle_standin::world::{Stage, World};
+use std::time::Duration;
 
 /// All that comes is for one partner: the first refusal of each sender tells it of the whole wait, at one endpoint.
 const SHUT: &str = r#"
@@ -59,27 +55,11 @@
 back_ms = 200
 "#;
 
-/// Plays it until the stand-ins were not late, three times at the most.
-async fn play(script: &Script) -> Verdict {
-    for _ in 0..3 {
-        let folder = tempfile::tempdir().expect("a folder");
-        let launch = Launch::from(Path::new(env!("CARGO_BIN_EXE_rudderspindle")));
-        let stage = Stage { launch, folder: folder.path().to_owned(), longest: Duration::from_secs(12) };
-        let world = World::set_up(script, &stage).await.expect("a world");
-        let played = world.play().await;
-        assert_eq!(played.failed, Vec::<String>::new());
-        let verdict = judge(&played.lines);
-        if !verdict.in_doubt() {
-            return verdict;
-        }
-    }
-    panic!("the stand-ins were late three times: this machine is too busy to tell anything");
-}
+const LONGEST: Duration = Duration::from_secs(12);
 
 #[tokio::test]
 async fn a_partner_shut_as_a_whole_is_asked_gently_when_it_opens() {
-    let script = Script::parse(SHUT, Path::new("shut.toml")).expect("a script");
-    let verdict = play(&script).await;
+    let (_, verdict) = evening::play(SHUT, LONGEST).await;
     assert!(verdict.clean(), "{verdict}");
     let [back] = &verdict.returns[..] else { panic!("it came back once:\n{verdict}") };
     assert!(back.shared && back.kind == "shut" && back.worst_calls > 0, "{verdict}");
@@ -89,8 +69,7 @@
 
 #[tokio::test]
 async fn nor_does_a_sender_that_was_killed_forget_that_it_is_cold() {
-    let script = Script::parse(&format!("{SHUT}{KILLED}"), Path::new("killed.toml")).expect("a script");
-    let verdict = play(&script).await;
+    let (_, verdict) = evening::play(&format!("{SHUT}{KILLED}"), LONGEST).await;
     assert!(verdict.clean(), "{verdict}");
     let [back] = &verdict.returns[..] else { panic!("it came back once:\n{verdict}") };
     assert!(back.worst_ratio > 0.0 && back.worst_ratio <= 1.8, "{verdict}");
--- a/crates/daemon/tests/troubles.rs
+++ b/crates/daemon/tests/troubles.rs
@@ -1,13 +1,10 @@
 //! What a script does to agents and links, with real senders: it happens, it is in the log, and no rule is broken.
 
-use std::path::Path;
+mod evening;
+
 use std::time::Duration;
 
 use rudderspindle_standin::evidence::{Event, Line};
-use rudderspindle_standin::judge::judge;
-use rudderspindle_standin::program::Launch;
-use rudderspindle_standin::script::Script;
-use rudderspindle_standin::world::{Stage, World};
 
 const SCRIPT: &str = r#"
 seed = 8
@@ -107,32 +104,19 @@
 
 #[tokio::test]
 async fn agents_and_links_fail_as_scripted_and_no_rule_is_broken() {
-    let script = Script::parse(SCRIPT, Path::new("troubles.toml")).expect("a script");
-    for again in 0.. {
-        assert!(again < 3, "the stand-ins were late three times: this machine is too busy to tell anything");
-        let folder = tempfile::tempdir().expect("a folder");
-        let launch = Launch::from(Path::new(env!("CARGO_BIN_EXE_rudderspindle")));
-        let stage = Stage { launch, folder: folder.path().to_owned(), longest: Duration::from_secs(5) };
-        let played = World::set_up(&script, &stage).await.expect("a world").play().await;
-        let (lines, verdict) = (&played.lines, judge(&played.lines));
-        if verdict.in_doubt() {
-            continue;
-        }
-        assert_eq!(played.failed, Vec::<String>::new());
-        assert!(verdict.clean() && verdict.accounting.open == 0, "{verdict}");
-        assert!(verdict.accounting.failed + verdict.accounting.refused > 0, "no notices:\n{verdict}");
-        // The one that is silent tells late; the other at once.
-        let (late, soon) = (told(lines, "n0", "DRAINING"), told(lines, "n1", "DRAINING"));
-        assert!(late.is_some_and(|t| (4_500..8_000).contains(&t)), "{late:?}");
-        assert!(soon.is_some_and(|t| (2_500..3_500).contains(&t)), "{soon:?}");
-        // Its sender has followed it to its other address.
-        let moved = told(lines, "n0", "DELETED");
-        assert!(moved.is_some_and(|t| t >= 9_800), "{moved:?}");
-        let untaken = |line: &&Line| matches!(&line.event, Event::Noticed { taken: false, sender, .. } if sender == "n1");
-        assert!(lines.iter().filter(untaken).count() > 0, "every notice was taken");
-        let cut_off =
-            lines.iter().filter(|line| matches!(&line.event, Event::Link { hides: true, .. })).count();
-        assert_eq!(cut_off, 4, "each of two links fails and is well again");
-        return;
-    }
+    let (lines, verdict) = evening::play(SCRIPT, Duration::from_secs(5)).await;
+    assert!(verdict.clean() && verdict.accounting.open == 0, "{verdict}");
+    assert!(verdict.accounting.failed + verdict.accounting.refused > 0, "no notices:\n{verdict}");
+    // The one that is silent tells late; the other at once.
+    let (late, soon) = (told(&lines, "n0", "DRAINING"), told(&lines, "n1", "DRAINING"));
+    assert!(late.is_some_and(|t| (4_500..8_000).contains(&t)), "{late:?}");
+    assert!(soon.is_some_and(|t| (2_500..3_500).contains(&t)), "{soon:?}");
+    // Its sender has followed it to its other address.
+    let moved = told(&lines, "n0", "DELETED");
+    assert!(moved.is_some_and(|t| t >= 9_800), "{moved:?}");
+    let untaken =
+        |line: &&Line| matches!(&line.event, Event::Noticed { taken: false, sender, .. } if sender == "n1");
+    assert!(lines.iter().filter(untaken).count() > 0, "every notice was taken");
+    let cut_off = lines.iter().filter(|line| matches!(&line.event, Event::Link { hides: true, .. })).count();
+    assert_eq!(cut_off, 4, "each of two links fails and is well again");
 }
