Operators can ask for figures and drain a sender on a listener of its own

On-call staff need a running sender's status and figures, and must be able to take it out of rotation and back. A control listener answers status, stats, standby and active; a drain lets requests that are on their way finish, closes what rests, and asks for new connections elsewhere.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod log;
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -22,6 +23,8 @@
 enum Error {
     #[error("{0} is not set")]
     Unset(&'static str),
+    #[error("RELAY_CONTROL is {0:?}, not an address and a port")]
+    Control(String),
     #[error(transparent)]
     Start(#[from] StartError),
     #[error("{0}")]
@@ -51,7 +54,11 @@
     // Before anything else: until it is heeded, a signal ends the program.
     let hangup = signal(SignalKind::hangup())?;
     let terminate = signal(SignalKind::terminate())?;
-    let service = Service::start(Usable::read(path)?, state).await?;
+    let mut usable = Usable::read(path)?;
+    if let Some(control) = control()? {
+        usable = usable.with_control(control);
+    }
+    let service = Service::start(usable, state).await?;
     tracing::info!("listening on {}", service.local_addr());
     spawn_local(reread(hangup, path.to_owned(), service.control()));
     spawn_local(stop(terminate, service.control()));
@@ -59,6 +66,15 @@
     Ok(())
 }
 
+/// Where operators call, if the variable says so.
+fn control() -> Result<Option<SocketAddr>, Error> {
+    let Some(text) = std::env::var_os("RELAY_CONTROL").filter(|text| !text.is_empty()) else {
+        return Ok(None);
+    };
+    let text = text.to_string_lossy().into_owned();
+    text.parse().map(Some).map_err(|_| Error::Control(text))
+}
+
 /// On each SIGHUP the configuration is read again; its `discovery` is in force from then on.
 async fn reread(mut hangup: Signal, path: PathBuf, control: Control) {
     while hangup.recv().await.is_some() {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -33,6 +33,8 @@
 /// The built program, killed when dropped.
 pub struct Program {
     pub addr: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operators: Option<SocketAddr>,
     pub child: Child,
     log: Lines<BufReader<ChildStderr>>,
 }
@@ -53,13 +55,17 @@
     pub async fn start(config: &Value, state: &Path) -> Self {
         let mut child = spawn(config, state);
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let mut operators = None;
         let addr = loop {
             let line = soon("the address", log.next_line()).await.expect("a log").expect("it goes on");
+            if let Some(addr) = line.strip_prefix("operators: listening on ") {
+                operators = Some(addr.parse().expect("an address"));
+            }
             if let Some(addr) = line.strip_prefix("listening on ") {
                 break addr.parse().expect("an address");
             }
         };
-        Self { addr, child, log }
+        Self { addr, operators, child, log }
     }
 
     /// The next line of the log that holds `text`.
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -255,6 +255,15 @@
         routes + self.messages.len() + self.keys.len()
     }
 
+    /// Routes on the list that take no ordinary calls of ours now: they drain, are down, or told to wait.
+    pub fn avoided(&self) -> usize {
+        let avoided = |d: &Destination, r: usize| match d.routes[r].listing {
+            Listing::Ready => d.down(r) || d.gate(r).wait_until > self.now,
+            listing => listing == Listing::Draining,
+        };
+        self.destinations.values().map(|d| (0..d.routes.len()).filter(|&r| avoided(d, r)).count()).sum()
+    }
+
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::List(change) => self.list(change),
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -78,6 +78,9 @@
 pub(crate) struct Config {
     pub(crate) listen: SocketAddr,
     pub(crate) discovery: SocketAddr,
+    /// Where operators call; nowhere, if it is not there.
+    #[serde(default)]
+    pub(crate) control: Option<SocketAddr>,
     #[serde(default)]
     pub(crate) seed: String,
     pub(crate) limits: Limits,
@@ -143,6 +146,13 @@
         Ok(Self { config, settings, names })
     }
 
+    /// Where operators call, whatever the file says.
+    #[must_use]
+    pub fn with_control(mut self, control: SocketAddr) -> Self {
+        self.config.control = Some(control);
+        self
+    }
+
     /// Where discovery and the place for notices are.
     pub fn discovery(&self) -> SocketAddr {
         self.config.discovery
--- /dev/null
+++ b/crates/sender/src/door.rs
@@ -0,0 +1,20 @@
+//! Whether clients are let in.
+
+/// The state of the clients' door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Door {
+    /// Clients come and stay.
+    #[default]
+    Open,
+    /// An operator drains this sender: who comes is served and then goes. What was taken on is delivered.
+    Standby,
+    /// The process is about to end.
+    Stopping,
+}
+
+impl Door {
+    /// The state that an operator asks for; a process that stops goes on stopping.
+    pub fn turned(self, to: Self) -> Self {
+        if self == Self::Stopping { self } else { to }
+    }
+}
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::event::{Answer, Call, Input, List, Member, Report, Submission};
+use crate::figures::{End, Figures, Standing};
 use crate::outbound::{Outbound, Route};
 use crate::reports::Reports;
 
@@ -42,6 +43,7 @@
 #[derive(Debug)]
 struct Held {
     txn: Txn,
+    class: usize,
     /// The hand-ins that it was taken on by, less those whose clients went unheard. While one is left, its
     /// client may have been told that the message is taken on: nothing may withdraw it.
     hand_ins: Vec<u64>,
@@ -62,6 +64,7 @@
 /// A message that was handed in with this batch.
 struct Fresh {
     id: MessageId,
+    class: usize,
     record: journal::Message,
     answer: oneshot::Sender<Answer>,
 }
@@ -73,6 +76,7 @@
     store: Store,
     outbound: Rc<Outbound>,
     reports: Rc<Reports>,
+    figures: Rc<Figures>,
     inputs: mpsc::Receiver<Input>,
     origin: Instant,
     last_batch: Instant,
@@ -101,6 +105,7 @@
     pub store: Store,
     pub outbound: Rc<Outbound>,
     pub reports: Rc<Reports>,
+    pub figures: Rc<Figures>,
     pub inputs: mpsc::Receiver<Input>,
 }
 
@@ -111,7 +116,7 @@
     ///
     /// [`SettingsError`] if the settings cannot work.
     pub fn new(parts: Parts, known: &List, fetched: Option<&List>) -> Result<Self, SettingsError> {
-        let Parts { settings, names, seed, store, outbound, reports, inputs } = parts;
+        let Parts { settings, names, seed, store, outbound, reports, figures, inputs } = parts;
         let now = Instant::now();
         let mut engine = Self {
             sender: Sender::new(settings.clone(), seed)?,
@@ -121,6 +126,7 @@
             store,
             outbound,
             reports,
+            figures,
             inputs,
             origin: now,
             last_batch: now,
@@ -187,7 +193,9 @@
         let Some(since) = self.stop.map(|at| at.elapsed()) else { return false };
         let idle = self.calls.is_empty() && self.reports.is_idle();
         let done = idle && (self.held.is_empty() || since >= STOP_SENDING);
-        since >= STOP_LAST || (done && since >= STOP_FIRST)
+        // Those whose request is still coming are heard: they would have to begin again elsewhere.
+        let heard = self.figures.clients() == 0;
+        since >= STOP_LAST || (done && heard && since >= STOP_FIRST)
     }
 
     fn batch(&mut self, inputs: Vec<Input>) {
@@ -212,6 +220,8 @@
                     events.push(Event::List(change));
                 }
                 Input::Settled(txns) => txns.iter().for_each(|txn| self.store.settled(txn)),
+                // Nobody may wait for it any more.
+                Input::Look(asker) => drop(asker.send(self.standing())),
                 Input::Stop => self.stop = self.stop.or(Some(now)),
             }
         }
@@ -250,9 +260,10 @@
         // What is ended with the batch that brought it was never taken on: its client hears it at once.
         let mut answers = refused;
         let mut taken = Vec::new();
-        for Fresh { id, record, answer } in fresh {
+        for Fresh { id, class, record, answer } in fresh {
             if let Some(status) = ended.remove(&id) {
                 self.release(id);
+                self.figures.ended(class, status.into());
                 let word = match status {
                     Status::Undeliverable => Answer::Failed,
                     Status::Deferred(again) => Answer::Refused(again.unwrap_or(0) as Millis),
@@ -267,6 +278,7 @@
         for (id, status) in ended {
             let Some(held) = self.release(id) else { continue };
             self.store.end(&held.txn, Some(status));
+            self.figures.ended(held.class, status.into());
             notices.push(Notice { txn: held.txn, status });
         }
         let mut calls = Vec::new();
@@ -295,6 +307,7 @@
                 if let Some(held) = self.release(id) {
                     self.store.forget(&held.txn);
                     self.carried.push(Event::Dropped(id));
+                    self.figures.ended(held.class, End::Refused);
                 }
                 answers.push((answer, Answer::Refused(0.0)));
             }
@@ -333,6 +346,9 @@
         if !self.destinations.contains(&destination) {
             // Before any list has come, nothing can be said of it.
             let unknown = !self.destinations.is_empty();
+            if !unknown {
+                self.figures.ended(class, End::Refused);
+            }
             refused.push((answer, if unknown { Answer::UnknownDestination } else { Answer::Refused(0.0) }));
             return None;
         }
@@ -346,12 +362,16 @@
                     self.hand_ins.insert(number, id);
                     refused.push((answer, Answer::Accepted));
                 }
-                None => refused.push((answer, Answer::Refused(0.0))),
+                None => {
+                    self.figures.ended(class, End::Refused);
+                    refused.push((answer, Answer::Refused(0.0)));
+                }
             }
             return None;
         }
         if self.store.knows(&txn) {
             // Its notice is still owed: what acknowledges that must not end a new message of the same id.
+            self.figures.ended(class, End::Refused);
             refused.push((answer, Answer::Refused(0.0)));
             return None;
         }
@@ -370,6 +390,7 @@
         };
         let more = record.room();
         if self.held.len() >= self.settings.most_held || !self.store.has_room(*room + more) {
+            self.figures.ended(class, End::Refused);
             refused.push((answer, Answer::Refused(0.0)));
             return None;
         }
@@ -380,9 +401,9 @@
             return None;
         }
         *room += more;
-        let id = self.hold(Held { txn, hand_ins: vec![number], key, body, ends_at, attempts: 0 });
+        let id = self.hold(Held { txn, class, hand_ins: vec![number], key, body, ends_at, attempts: 0 });
         self.hand_ins.insert(number, id);
-        fresh.push(Fresh { id, record, answer });
+        fresh.push(Fresh { id, class, record, answer });
         Some(Message {
             id,
             class,
@@ -394,6 +415,14 @@
         })
     }
 
+    fn standing(&self) -> Standing {
+        Standing {
+            open_requests: self.held.len(),
+            registry_entries: self.routes.values().filter(|known| known.gone_at.is_none()).count(),
+            out_of_rotation: self.sender.avoided(),
+        }
+    }
+
     fn hold(&mut self, held: Held) -> MessageId {
         let mut id = MessageId(self.next_id);
         while self.held.contains_key(&id) || self.calls.contains_key(&id) {
@@ -449,6 +478,9 @@
         if let Some(held) = self.held.get(&id) {
             if closed {
                 self.store.end(&held.txn, None);
+                if outcome == Outcome::Ok {
+                    self.figures.ended(held.class, End::Delivered);
+                }
                 self.release(id);
             } else {
                 let never = matches!(
@@ -503,6 +535,7 @@
             let ends_at = now + Duration::from_millis(left);
             let id = self.hold(Held {
                 txn: m.txn,
+                class,
                 hand_ins: vec![EARLIER_HAND_IN],
                 key: m.key,
                 body: m.body,
@@ -641,9 +674,11 @@
         let settings = rudderspindle_decide::settings::read(&json).expect("settings");
         let names = rudderspindle_decide::settings::names(&json).expect("names");
         let (to_engine, inputs) = mpsc::channel(16);
-        let outbound = Rc::new(Outbound::new(&settings, 8, to_engine.clone()));
+        let figures = Rc::new(Figures::new(&names.classes));
+        let outbound = Rc::new(Outbound::new(&settings, 8, figures.clone(), to_engine.clone()));
         let store = Store::open(state, 3_000_000).expect("a journal");
-        let parts = Parts { settings, names, seed: 1, store, outbound, reports: Rc::default(), inputs };
+        let reports = Rc::default();
+        let parts = Parts { settings, names, seed: 1, store, outbound, reports, figures, inputs };
         let member =
             serde_json::json!({"id": "r1", "host_port": "127.0.0.1:1", "cell": 7, "phase": "SERVING"});
         let list = serde_json::json!({"revision": 1, "complete": true, "members": [member]});
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -9,6 +9,8 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::figures::Standing;
+
 /// The header that carries a message's key, on the way in and on the way out.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
@@ -30,6 +32,8 @@
     List(List),
     /// Notices that the platform has.
     Settled(Vec<Txn>),
+    /// How does the engine stand?
+    Look(oneshot::Sender<Standing>),
     /// SIGTERM.
     Stop,
 }
--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -23,7 +23,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::door::Door;
 use crate::event::{Answer, IDEMPOTENCY_KEY, Input, Submission};
+use crate::figures::{End, Figures};
 use crate::meter::{MAX_BUFFER, Meter, Metered};
 use crate::places::{ClientId, Places};
 
@@ -70,7 +72,8 @@
     origin: Instant,
     /// Bytes that all bodies which have not come whole may still take up.
     bodies: Arc<Semaphore>,
-    stopping: watch::Receiver<bool>,
+    figures: Rc<Figures>,
+    door: watch::Receiver<Door>,
 }
 
 impl Inbound {
@@ -78,8 +81,9 @@
         settings: Settings,
         names: Names,
         limits: Limits,
+        figures: Rc<Figures>,
         host: mpsc::Sender<Input>,
-        stopping: watch::Receiver<bool>,
+        door: watch::Receiver<Door>,
     ) -> Self {
         Self {
             settings,
@@ -91,7 +95,8 @@
             places: RefCell::new(Places::new(limits.sockets)),
             origin: Instant::now(),
             bodies: Arc::new(Semaphore::new(limits.body_bytes.max(MAX_BODY))),
-            stopping,
+            figures,
+            door,
         }
     }
 
@@ -105,11 +110,13 @@
                     let client = Rc::new(Client::new(number));
                     self.clients.borrow_mut().insert(number, client.clone());
                     self.places.borrow_mut().connected(number, peer.ip(), self.now());
+                    self.figures.client(true);
                     let this = self.clone();
                     spawn_local(async move {
                         this.serve(stream, &client).await;
                         this.clients.borrow_mut().remove(&number);
                         this.places.borrow_mut().left(number);
+                        this.figures.client(false);
                         drop(permit);
                     });
                 }
@@ -166,14 +173,12 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let mut stopping = self.stopping.clone();
-        let stops = *stopping.borrow_and_update();
+        let mut door = self.door.clone();
+        door.mark_changed();
         let io = Metered::new(stream, client.owed.meter.clone());
         let service = service_fn(|request| self.answer(request, client));
-        let mut connection = pin!(
-            http1::Builder::new().keep_alive(!stops).max_buf_size(MAX_BUFFER).serve_connection(io, service)
-        );
-        let mut told = stops;
+        let mut connection =
+            pin!(http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(io, service));
         loop {
             tokio::select! {
                 biased;
@@ -181,10 +186,10 @@
                 () = client.closing.notified() => break,
                 // How it ended shows in what is still owed.
                 _ = connection.as_mut() => break,
-                _ = stopping.changed(), if !told => {
-                    told = true;
+                // A request that is coming is heard first; its answer ends the connection.
+                Ok(()) = door.changed() => if *door.borrow_and_update() != Door::Open && client.at_rest() {
                     connection.as_mut().graceful_shutdown();
-                }
+                },
             }
         }
         // The client never heard that its message is taken on, and may hand it in elsewhere: drop it.
@@ -199,8 +204,8 @@
         client: &Client,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let mut answer = match (request.method(), request.uri().path()) {
-            (&Method::GET, READY) if *self.stopping.borrow() => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "stopping")
+            (&Method::GET, READY) if *self.door.borrow() != Door::Open => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             }
             (&Method::GET, READY) => plain(StatusCode::OK, "ready"),
             (_, READY) => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"),
@@ -209,7 +214,7 @@
             },
             _ => plain(StatusCode::METHOD_NOT_ALLOWED, "POST only"),
         };
-        if answer.status().is_client_error() {
+        if answer.status().is_client_error() || *self.door.borrow() != Door::Open {
             // What follows on the connection of a client that cannot be understood may be the rest of a body.
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -256,7 +261,7 @@
         let txn = Txn::from(txn);
         let body = {
             let Ok(_room) = self.bodies.try_acquire_many(length as u32) else {
-                return Ok(self.refusal(0.0));
+                return Ok(self.turn_away(class));
             };
             match timeout_at(client.due(), Limited::new(body, MAX_BODY).collect()).await {
                 // A copy: a body that came as one piece would keep the connection's whole buffer in memory.
@@ -276,7 +281,7 @@
         let (answer, answered) = oneshot::channel();
         let submission = Submission { number, txn, class, tenant, destination, key, body, ends_at, answer };
         if self.host.try_send(Input::HandedIn(submission)).is_err() {
-            return Ok(self.refusal(0.0));
+            return Ok(self.turn_away(class));
         }
         owed.hand_in(number);
         let answer = answered.await.unwrap_or(Answer::Refused(0.0));
@@ -292,6 +297,12 @@
         })
     }
 
+    /// Refused before the engine has heard of it.
+    fn turn_away(&self, class: usize) -> Reply {
+        self.figures.ended(class, End::Refused);
+        self.refusal(0.0)
+    }
+
     fn refusal(&self, again: Millis) -> Reply {
         let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
         let seconds = HeaderValue::from_str(&format!("{:.3}", again / 1_000.0));
@@ -372,6 +383,11 @@
         }
     }
 
+    /// Whether it has had an answer, and nothing of a further request has come.
+    fn at_rest(&self) -> bool {
+        self.known.get() && !self.asked.get() && self.owed.meter.heard().is_none()
+    }
+
     fn overdue(&self, now: Instant) -> bool {
         !self.asked.get() && self.due() <= now
     }
@@ -413,19 +429,20 @@
         X-Route-To: dest=7\r\nContent-Length: 4\r\n\r\ntext";
 
     /// A client, and the host's end of the queue.
-    async fn set_up() -> (TcpStream, mpsc::Receiver<Input>, watch::Sender<bool>) {
+    async fn set_up() -> (TcpStream, mpsc::Receiver<Input>, watch::Sender<Door>) {
         let json = serde_json::json!({
             "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
             "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
         let settings = rudderspindle_decide::settings::read(&json).expect("settings");
         let names = rudderspindle_decide::settings::names(&json).expect("names");
         let (to_engine, inputs) = mpsc::channel(16);
-        let (stop, stopping) = watch::channel(false);
+        let (turn, door) = watch::channel(Door::Open);
+        let figures = Rc::new(Figures::new(&names.classes));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a client");
         let limits = Limits { sockets: 8, body_bytes: MAX_BODY };
-        spawn_local(Rc::new(Inbound::new(settings, names, limits, to_engine, stopping)).run(listener));
-        (client, inputs, stop)
+        spawn_local(Rc::new(Inbound::new(settings, names, limits, figures, to_engine, door)).run(listener));
+        (client, inputs, turn)
     }
 
     async fn next(inputs: &mut mpsc::Receiver<Input>) -> Input {
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -25,10 +25,13 @@
 
 mod config;
 mod discovery;
+mod door;
 mod engine;
 mod event;
+mod figures;
 mod inbound;
 mod meter;
+mod operator;
 mod outbound;
 mod places;
 mod platform;
--- a/crates/sender/src/meter.rs
+++ b/crates/sender/src/meter.rs
@@ -15,6 +15,8 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+use crate::figures::Figures;
+
 /// Bytes that a connection buffers of a head or a body at most, either way.
 pub(crate) const MAX_BUFFER: usize = 16 * 1024;
 const READ_AT_ONCE: usize = 4 * 1024;
@@ -30,6 +32,8 @@
     heard: Cell<Option<Instant>>,
     /// On the way to a receiver: the head of its answer, as far as it matters.
     answer: Option<RefCell<Vec<u8>>>,
+    /// Where a message is counted once its last byte is written, if this one still has to be.
+    uncounted: RefCell<Option<Rc<Figures>>>,
     /// Whenever something has come in.
     more: Notify,
 }
@@ -44,9 +48,15 @@
     pub(crate) fn reset(&self) {
         self.written.set(0);
         self.complete.set(false);
+        self.uncounted.borrow_mut().take();
         self.listen();
     }
 
+    /// The message at hand is counted once its last byte is written.
+    pub(crate) fn count_in(&self, figures: Rc<Figures>) {
+        *self.uncounted.borrow_mut() = Some(figures);
+    }
+
     /// What comes in from here on is the next message's.
     pub(crate) fn listen(&self) {
         self.heard.set(None);
@@ -196,6 +206,9 @@
         // body as a whole: after the first byte, a flush means that the last one is written too.
         if self.meter.started() {
             self.meter.complete.set(true);
+            if let Some(figures) = self.meter.uncounted.borrow_mut().take() {
+                figures.relayed();
+            }
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::event::{Call, IDEMPOTENCY_KEY, Input, Report};
+use crate::figures::Figures;
 use crate::meter::{MAX_BUFFER, Meter, Metered};
 
 const X_TXN: HeaderName = HeaderName::from_static("x-txn");
@@ -62,11 +63,12 @@
     sockets: Arc<Semaphore>,
     connect_timeout: Duration,
     idle_time: Duration,
+    figures: Rc<Figures>,
     host: mpsc::Sender<Input>,
 }
 
 impl Outbound {
-    pub fn new(settings: &Settings, sockets: usize, host: mpsc::Sender<Input>) -> Self {
+    pub fn new(settings: &Settings, sockets: usize, figures: Rc<Figures>, host: mpsc::Sender<Input>) -> Self {
         let idle_close = Duration::from_secs_f64(settings.idle_close.max(0.0) / 1_000.0);
         Self {
             routes: RefCell::default(),
@@ -75,6 +77,7 @@
             sockets: Arc::new(Semaphore::new(sockets)),
             connect_timeout: Duration::from_secs_f64(settings.connect_timeout.max(1.0) / 1_000.0),
             idle_time: idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2),
+            figures,
             host,
         }
     }
@@ -137,7 +140,7 @@
             let until = Instant::now() + PROBE_TIMEOUT;
             let request =
                 |host: HeaderValue| Request::get("/-/healthy").header(HOST, host).body(Full::default());
-            let (report, rest) = this.exchange(route, until, request).await;
+            let (report, rest) = this.exchange(route, until, false, request).await;
             let _ = this.host.send(Input::Probed { route, outcome: report.outcome }).await;
             this.finish(route, rest).await;
         });
@@ -155,7 +158,7 @@
             }
             request.body(Full::new(call.body.clone()))
         };
-        self.exchange(call.route, call.until, request).await
+        self.exchange(call.route, call.until, true, request).await
     }
 
     /// One request and the head of its answer.
@@ -163,6 +166,7 @@
         &self,
         route: RouteId,
         until: Instant,
+        counted: bool,
         request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
     ) -> (Report, Option<Rest>) {
         loop {
@@ -187,6 +191,9 @@
             };
             let meter = connection.meter.clone();
             meter.reset();
+            if counted {
+                meter.count_in(self.figures.clone());
+            }
             let answer = tokio::select! {
                 biased;
                 answer = connection.sender.send_request(request) => answer.map_err(|_| Failure::Broken),
@@ -426,7 +433,8 @@
         let settings = rudderspindle_decide::settings::read(&json).expect("settings");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (to_engine, inputs) = mpsc::channel(16);
-        let outbound = Rc::new(Outbound::new(&settings, 8, to_engine));
+        let figures = Rc::new(Figures::new(&[]));
+        let outbound = Rc::new(Outbound::new(&settings, 8, figures, to_engine));
         outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
         (outbound, listener, inputs)
     }
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -12,9 +12,12 @@
 
 use crate::config::{StartError, Usable};
 use crate::discovery;
+use crate::door::Door;
 use crate::engine::{Engine, Parts};
 use crate::event::{Input, List};
+use crate::figures::Figures;
 use crate::inbound::{self, Inbound};
+use crate::operator::Operator;
 use crate::outbound::Outbound;
 use crate::reports::Reports;
 
@@ -34,7 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Control {
     to_engine: mpsc::Sender<Input>,
-    stopping: watch::Sender<bool>,
+    door: watch::Sender<Door>,
     discovery: watch::Sender<SocketAddr>,
 }
 
@@ -52,8 +55,9 @@
         let store = Store::open(state, budget)
             .map_err(|error| StartError::Journal { path: state.to_owned(), error })?;
         let (to_engine, inputs) = mpsc::channel(QUEUE);
-        let (stopping, stops) = watch::channel(false);
-        let outbound = Rc::new(Outbound::new(&settings, share, to_engine.clone()));
+        let (door, at_the_door) = watch::channel(Door::Open);
+        let figures = Rc::new(Figures::new(&names.classes));
+        let outbound = Rc::new(Outbound::new(&settings, share, figures.clone(), to_engine.clone()));
         let reports = Rc::new(Reports::default());
         let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_default();
         let known = config.known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
@@ -64,6 +68,7 @@
             store,
             outbound: outbound.clone(),
             reports: reports.clone(),
+            figures: figures.clone(),
             inputs,
         };
         // What the journal holds is taken up before the first client is heard.
@@ -84,9 +89,17 @@
         });
         spawn_local(async move { outbound.sweep().await });
         let limits = inbound::Limits { sockets: share, body_bytes: config.limits.body_bytes() };
-        let inbound = Rc::new(Inbound::new(settings, names, limits, to_engine.clone(), stops));
+        let inbound =
+            Rc::new(Inbound::new(settings, names, limits, figures.clone(), to_engine.clone(), at_the_door));
         spawn_local(inbound.run(listener));
-        Ok(Self { engine, control: Control { to_engine, stopping, discovery }, addr })
+        if let Some(addr) = config.control {
+            let cannot_listen = |error| StartError::Listen { addr, error };
+            let listener = TcpListener::bind(addr).await.map_err(cannot_listen)?;
+            tracing::info!("operators: listening on {}", listener.local_addr().map_err(cannot_listen)?);
+            let operator = Operator { figures, door: door.clone(), host: to_engine.clone() };
+            spawn_local(Rc::new(operator).run(listener));
+        }
+        Ok(Self { engine, control: Control { to_engine, door, discovery }, addr })
     }
 
     /// Where clients connect.
@@ -112,7 +125,7 @@
     /// Stops the service: it goes on answering for a while, lets calls finish, and leaves the rest to the
     /// journal. [`Service::run`] then ends within 3.5 s.
     pub async fn stop(&self) {
-        self.stopping.send_replace(true);
+        self.door.send_replace(Door::Stopping);
         let _ = self.to_engine.send(Input::Stop).await;
     }
 
