--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -8,6 +8,11 @@
 //! segment afterwards. A kill between the two leaves the same facts twice, which reading takes as once.
 //! Because the oldest goes first, a message's end never disappears before its beginning.
 //!
+//! Two processes may use one folder while the second takes over from the first. Whoever holds the lock owns the
+//! journal; the other, its successor, writes segments under far higher numbers and reads none of the older ones
+//! until their owner has ended ([`Store::succeed`]). Read in the order of their numbers they tell the same to a
+//! process that starts alone: a crash of either or both needs no care of its own.
+//!
 //! ```
 //! use rudderspindle_journal::{Message, Ran, Status, Store};
 //!
@@ -43,13 +48,14 @@
 //! # }
 //! ```
 
+mod claim;
 mod memory;
 mod store;
 
 use std::rc::Rc;
 
 pub use memory::{Place, Trouble};
-pub use store::{Message, Notice, Ran, Status, Store, wall_ms};
+pub use store::{Message, Notice, Ran, Status, Store, TakenOver, wall_ms};
 
 /// A message's id, as its client chose it.
 pub type Txn = Rc<str>;
--- a/crates/journal/src/memory.rs
+++ b/crates/journal/src/memory.rs
@@ -77,6 +77,15 @@
         })
     }
 
+    /// What an earlier process knew, where nothing newer is known.
+    pub fn add_older(&mut self, older: Self) {
+        for (place, memory) in older.0 {
+            if !self.0.contains_key(&place) {
+                self.put(place, Some(memory));
+            }
+        }
+    }
+
     /// Those of a segment, as they were written; stale ones are forgotten.
     pub fn of_segment(&mut self, segment: u64, wall: u64) -> impl Iterator<Item = (&Place, &mut Memory)> {
         self.0.retain(|_, memory| memory.segment != segment || !memory.is_stale(wall));
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 
+use crate::claim::Claim;
 use crate::memory::{Memories, Memory, Place, Trouble};
 use crate::{MAX_BODY, Txn};
 
@@ -26,6 +27,9 @@
 /// A payload longer than this is damage.
 const MAX_PAYLOAD: usize = MAX_BODY + 4096;
 
+/// A successor's segments are numbered so far behind those of the owner, which goes on writing for a while.
+const GENERATION: u64 = 1_000_000;
+
 const TAKEN: u8 = 1;
 const ATTEMPT: u8 = 2;
 const OUTCOME: u8 = 3;
@@ -118,10 +122,22 @@
     Owed(Status),
 }
 
+/// What an owner that has ended still owed.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct TakenOver {
+    /// Messages that are owed their end, with their history.
+    pub open: Vec<Message>,
+    /// Notices that have not been acknowledged.
+    pub owed: Vec<Notice>,
+}
+
 /// The journal and what it says.
 #[derive(Debug)]
 pub struct Store {
     folder: PathBuf,
+    claim: Claim,
+    /// What all files may hold, and what ours may: half of it while two processes write.
+    disk: u64,
     budget: u64,
     /// Oldest first; the last one is written to.
     segments: VecDeque<Segment>,
@@ -144,43 +160,33 @@
 }
 
 impl Store {
-    /// Reads the journal in `folder`, cuts a torn tail and begins a new segment.
+    /// Reads the journal in `folder`, cuts a torn tail and begins a new segment. If another process owns it,
+    /// nothing is read, and half of the `budget` (bytes of all files together) is ours until [`Store::succeed`].
+    ///
+    /// # Errors
+    ///
+    /// What the file system says; [`io::ErrorKind::ResourceBusy`] if two processes use the folder already.
     pub fn open(folder: &Path, budget: u64) -> io::Result<Self> {
-        let mut numbers: Vec<u64> = Vec::new();
-        for entry in fs::read_dir(folder)? {
-            let name = entry?.file_name();
-            let number: Option<u64> =
-                name.to_str().and_then(|n| n.strip_prefix("journal-")).and_then(|n| n.parse().ok());
-            numbers.extend(number);
-        }
-        numbers.sort_unstable();
+        let claim = Claim::of(folder)?;
+        let numbers = segments(folder)?;
         let mut contents = Contents::default();
-        let mut segments = VecDeque::new();
-        for &number in &numbers {
-            let path = path(folder, number);
-            let bytes = fs::read(&path)?;
-            let end = replay(&bytes, number, &mut contents);
-            if end < bytes.len() {
-                tracing::warn!("journal: segment {number} ends in {} torn bytes: cut", bytes.len() - end);
-                OpenOptions::new().write(true).open(&path)?.set_len(end as u64)?;
-            }
-            segments.push_back(Segment { number, bytes: end as u64 });
-        }
-        let number = numbers.last().map_or(0, |n| n + 1);
+        let (older, number, ours) = if claim.is_owner() {
+            let next = numbers.last().map_or(0, |n| n + 1);
+            (read(folder, &numbers, &mut contents)?, next, budget)
+        } else {
+            (VecDeque::new(), numbers.last().map_or(0, |n| n + GENERATION), budget / 2)
+        };
         let file = create(folder, number)?;
+        let mut segments = older;
         segments.push_back(Segment { number, bytes: 0 });
-        let Contents { mut entries, memories } = contents;
-        // Nothing of an earlier process is out any more.
-        for entry in entries.values_mut() {
-            if let State::Open(message) = &mut entry.state {
-                message.settle(true);
-            }
-        }
+        let Contents { entries, memories } = contents;
         let live = entries.iter().map(|(txn, entry)| entry.room(txn)).sum();
         let folder = folder.to_owned();
         let mut store = Self {
             folder,
-            budget,
+            claim,
+            disk: budget,
+            budget: ours,
             segments,
             file,
             facts: Vec::new(),
@@ -193,6 +199,63 @@
         Ok(store)
     }
 
+    /// Whether what the folder held before us is ours, too.
+    pub fn is_owner(&self) -> bool {
+        self.claim.is_owner()
+    }
+
+    /// Makes a successor the owner, if the owner has ended: what that still owed is ours from now on. `None` as
+    /// long as it has not, and for one that is the owner already.
+    ///
+    /// An id that both know is ours as we know it: the older one's message is ended.
+    ///
+    /// # Errors
+    ///
+    /// What the file system says of the older segments; to try again is safe.
+    pub fn succeed(&mut self) -> io::Result<Option<TakenOver>> {
+        if !self.claim.is_vacant()? {
+            return Ok(None);
+        }
+        let first = self.segments.front().map_or(0, |s| s.number);
+        let numbers: Vec<u64> = segments(&self.folder)?.into_iter().filter(|&n| n < first).collect();
+        let mut contents = Contents::default();
+        let mut older = read(&self.folder, &numbers, &mut contents)?;
+        self.claim.succeed()?;
+        older.append(&mut self.segments);
+        self.segments = older;
+        self.budget = self.disk;
+        let mut over = TakenOver::default();
+        for (txn, entry) in contents.entries {
+            if self.entries.contains_key(&txn) {
+                continue;
+            }
+            match &entry.state {
+                State::Open(message) => over.open.push(message.clone()),
+                State::Owed(status) => over.owed.push(Notice { txn: txn.clone(), status: *status }),
+            }
+            self.live += entry.room(&txn);
+            self.entries.insert(txn, entry);
+        }
+        // What we know ourselves is newer.
+        self.memories.add_older(contents.memories);
+        if let Err(error) = self.make_room() {
+            tracing::warn!("journal: no room could be made: {error}");
+        }
+        Ok(Some(over))
+    }
+
+    /// Leaves half of the disk to a successor, or takes it back when there is none any more.
+    ///
+    /// # Errors
+    ///
+    /// What the file system says; the half is then left as far as it could be.
+    pub fn share(&mut self, with_successor: bool) -> io::Result<()> {
+        let half = self.disk / 2;
+        let made = if with_successor { self.make_room_to(half.saturating_sub(RESERVE)) } else { Ok(()) };
+        self.budget = if with_successor { half } else { self.disk };
+        made
+    }
+
     /// Messages that are still owed their end.
     pub fn open_messages(&self) -> impl Iterator<Item = &Message> {
         self.entries.values().filter_map(|e| match &e.state {
@@ -345,10 +408,14 @@
         Ok(())
     }
 
-    /// Moves what is live out of the oldest segments until enough is free.
     fn make_room(&mut self) -> io::Result<()> {
+        self.make_room_to(self.budget.saturating_sub(RESERVE))
+    }
+
+    /// Moves what is live out of the oldest segments until no more than so much is used.
+    fn make_room_to(&mut self, most: u64) -> io::Result<()> {
         for _ in 1..self.segments.len() {
-            if self.total() <= self.budget.saturating_sub(RESERVE) {
+            if self.total() <= most {
                 break;
             }
             let Some(oldest) = self.segments.front().map(|s| s.number) else { break };
@@ -409,6 +476,40 @@
     folder.join(format!("journal-{number:08}"))
 }
 
+/// The numbers of the segments in a folder, in their order.
+fn segments(folder: &Path) -> io::Result<Vec<u64>> {
+    let mut numbers: Vec<u64> = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let name = entry?.file_name();
+        let number = name.to_str().and_then(|n| n.strip_prefix("journal-")).and_then(|n| n.parse().ok());
+        numbers.extend::<Option<u64>>(number);
+    }
+    numbers.sort_unstable();
+    Ok(numbers)
+}
+
+/// Reads segments of processes that have ended, and cuts what is torn.
+fn read(folder: &Path, numbers: &[u64], contents: &mut Contents) -> io::Result<VecDeque<Segment>> {
+    let mut segments = VecDeque::new();
+    for &number in numbers {
+        let path = path(folder, number);
+        let bytes = fs::read(&path)?;
+        let end = replay(&bytes, number, contents);
+        if end < bytes.len() {
+            tracing::warn!("journal: segment {number} ends in {} torn bytes: cut", bytes.len() - end);
+            OpenOptions::new().write(true).open(&path)?.set_len(end as u64)?;
+        }
+        segments.push_back(Segment { number, bytes: end as u64 });
+    }
+    // Nothing of an earlier process is out any more.
+    for entry in contents.entries.values_mut() {
+        if let State::Open(message) = &mut entry.state {
+            message.settle(true);
+        }
+    }
+    Ok(segments)
+}
+
 fn create(folder: &Path, number: u64) -> io::Result<File> {
     OpenOptions::new().append(true).create_new(true).open(path(folder, number))
 }
