--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use std::net::SocketAddr;
+use std::os::fd::AsRawFd;
 use std::path::Path;
 use std::process::{ExitStatus, Stdio};
 
@@ -12,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 pub use rudderspindle_standin::exact::*;
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::TcpStream;
@@ -40,9 +42,18 @@
 }
 
 pub fn spawn(config: &Value, state: &Path) -> Child {
+    spawn_at(None, config, state)
+}
+
+/// The program, with clients at a listener that it inherits, if there is one.
+fn spawn_at(door: Option<&Socket>, config: &Value, state: &Path) -> Child {
     let path = state.with_extension("json");
     std::fs::write(&path, config.to_string()).expect("a configuration file");
-    Command::new(env!("CARGO_BIN_EXE_rudderspindle"))
+    let mut program = Command::new(env!("CARGO_BIN_EXE_rudderspindle"));
+    if let Some(door) = door {
+        program.env("RELAY_ACCEPT_FD", door.as_raw_fd().to_string());
+    }
+    program
         .env("RELAY_CONFIG", path)
         .env("RELAY_STATE", state)
         .stderr(Stdio::piped())
@@ -53,7 +64,15 @@
 
 impl Program {
     pub async fn start(config: &Value, state: &Path) -> Self {
-        let mut child = spawn(config, state);
+        Self::begin(spawn(config, state)).await
+    }
+
+    /// One whose clients come by a listener that outlasts it.
+    pub async fn start_at(door: &Socket, config: &Value, state: &Path) -> Self {
+        Self::begin(spawn_at(Some(door), config, state)).await
+    }
+
+    async fn begin(mut child: Child) -> Self {
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
         let mut operators = None;
         let addr = loop {
@@ -142,6 +161,16 @@
     }
 }
 
+/// A listening socket that the platform keeps, for programs that it starts.
+pub fn kept_door() -> Socket {
+    let door = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    door.bind(&any.into()).expect("a port");
+    door.listen(128).expect("it listens");
+    door.set_cloexec(false).expect("children have it");
+    door
+}
+
 /// A folder that outlasts programs.
 pub fn lasting() -> Folder {
     let folder = tempfile::tempdir().expect("a folder");
--- /dev/null
+++ b/crates/daemon/tests/upgrade.rs
@@ -0,0 +1,164 @@
+//! A new process beside the running one: same folder, same listening socket, nothing lost, doubled or forced.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use common::*;
+use serde_json::Value;
+use tokio::io::AsyncWriteExt;
+
+/// What both processes of a sender have in common.
+struct Site {
+    platform: Platform,
+    receiver: Receiver,
+    door: socket2::Socket,
+    folder: Folder,
+    config: Value,
+}
+
+impl Site {
+    async fn new(acts: &[Act], deadline: f64) -> Self {
+        let (platform, receiver) = (Platform::start().await, Receiver::start(acts).await);
+        let config = config(platform.addr, &[member("r1", receiver.addr, 7, "SERVING")], deadline);
+        *platform.list.lock().expect("a list") = Some(config["known"].clone());
+        Self { platform, receiver, door: kept_door(), folder: lasting(), config }
+    }
+
+    async fn start(&self) -> Program {
+        let program = Program::start_at(&self.door, &self.config, &self.folder.1).await;
+        let addr: SocketAddr = self.door.local_addr().expect("an address").as_socket().expect("TCP");
+        assert_eq!(program.addr, addr);
+        program
+    }
+}
+
+fn text() -> Bytes {
+    Bytes::from_static(b"text")
+}
+
+/// The status that a notice tells, by id.
+async fn notices(platform: &mut Platform, most: usize) -> Vec<(String, String)> {
+    let mut all = Vec::new();
+    while all.len() < most {
+        all.extend(platform.report().await.0);
+    }
+    all.sort();
+    all
+}
+
+#[tokio::test]
+async fn clients_notice_nothing_of_a_new_version_and_what_the_old_one_holds_passes_to_it() {
+    let mut site = Site::new(&[Act::Hang, Act::Hang], 60_000.0).await;
+    let mut old = site.start().await;
+    for (class, txn) in [("safe", "m1"), ("once", "m2")] {
+        assert_eq!(old.hand_in(class, txn, text()).await.status(), 202);
+        assert_eq!(site.receiver.call().await.txn, txn);
+    }
+    // One client has connected before the new process came, and one has begun to speak.
+    let mut fresh = old.raw(b"").await;
+    let whole = raw_hand_in("m4", "Content-Length: 4", "text");
+    let mut slow = old.raw(&whole[..40]).await;
+    // What was accepted is in the old process's hands.
+    assert_eq!(old.hand_in("safe", "m3", text()).await.status(), 202);
+    assert_eq!(site.receiver.call().await.txn, "m3");
+    let mut new = site.start().await;
+    old.terminate().await;
+    old.says("stopping").await;
+    for (stream, bytes, txn) in [
+        (&mut slow, &whole[40..], "m4"),
+        (&mut fresh, &raw_hand_in("m5", "Content-Length: 4", "text")[..], "m5"),
+    ] {
+        stream.write_all(bytes).await.expect("it is open");
+        assert_eq!(status(stream).await, Some(202), "{txn}");
+        assert_eq!(site.receiver.call().await.txn, txn);
+    }
+    assert!(old.exit().await.success());
+    new.says("taken over: 2 messages").await;
+    // Both attempts may have run: the one that may be repeated is, the other one fails, once.
+    assert_eq!(site.receiver.call().await.txn, "m1");
+    assert_eq!(notices(&mut site.platform, 1).await, [("m2".to_owned(), "undeliverable".to_owned())]);
+    assert_eq!(new.hand_in("safe", "m6", text()).await.status(), 202);
+    assert_eq!(site.receiver.call().await.txn, "m6");
+    // The next version finds the one that is the owner now.
+    let mut newest = site.start().await;
+    new.says("a successor has come").await;
+    new.terminate().await;
+    assert!(new.exit().await.success());
+    newest.says("taken over: 0 messages, 0 notices").await;
+    assert!(site.receiver.nothing_called());
+}
+
+/// The old process is killed while both serve; and nobody tells the new one.
+#[tokio::test]
+async fn a_kill_of_the_old_process_passes_what_it_held_to_the_new_one() {
+    let mut site = Site::new(&[Act::Hang], 60_000.0).await;
+    let old = site.start().await;
+    assert_eq!(old.hand_in("safe", "m1", text()).await.status(), 202);
+    assert_eq!(site.receiver.call().await.txn, "m1");
+    let mut new = site.start().await;
+    old.kill().await;
+    new.says("taken over: 1 messages").await;
+    assert_eq!(site.receiver.call().await.txn, "m1");
+}
+
+#[tokio::test]
+async fn a_wait_told_to_either_process_binds_both() {
+    // Told to the old one before the new one has come.
+    let wait = Act::Say(429, Some(("x-backoff-ms", "1500")));
+    let mut site = Site::new(&[wait], 60_000.0).await;
+    let old = site.start().await;
+    assert_eq!(old.hand_in("safe", "m1", text()).await.status(), 202);
+    site.receiver.call().await;
+    let told = Instant::now();
+    let mut new = site.start().await;
+    old.terminate().await;
+    assert_eq!(new.hand_in("safe", "m2", text()).await.status(), 202);
+    for _ in 0..2 {
+        let call = site.receiver.call().await;
+        let after = call.at.duration_since(told);
+        assert!(after > Duration::from_millis(1_450), "{} came after {after:?}", call.txn);
+    }
+    // Told to the new one while the old one still has a message: it waits in the old one, or passes over.
+    new.says("taken over").await;
+    let mut newest = site.start().await;
+    site.receiver.then(&[wait]);
+    // Both accept: whoever has it hears of the wait, and the other one must keep to it.
+    assert_eq!(new.hand_in("safe", "m3", text()).await.status(), 202);
+    site.receiver.call().await;
+    let told = Instant::now();
+    for n in 0..6 {
+        assert_eq!(newest.hand_in("safe", &format!("n{n}"), text()).await.status(), 202);
+    }
+    new.terminate().await;
+    newest.says("taken over").await;
+    for _ in 0..7 {
+        let call = site.receiver.call().await;
+        let after = call.at.duration_since(told);
+        assert!(after > Duration::from_millis(1_450), "{} came after {after:?}", call.txn);
+    }
+}
+
+/// A listener that cannot be used is one clear error.
+#[tokio::test]
+async fn a_descriptor_that_is_no_listener_ends_the_start() {
+    let site = Site::new(&[], 60_000.0).await;
+    for (number, says) in [
+        ("x", "RELAY_ACCEPT_FD is \"x\""),
+        ("2", "RELAY_ACCEPT_FD is \"2\""),
+        ("900", "no listening TCP socket"),
+    ] {
+        std::fs::write(site.folder.1.with_extension("json"), site.config.to_string()).expect("writable");
+        let output = tokio::process::Command::new(env!("CARGO_BIN_EXE_rudderspindle"))
+            .env("RELAY_CONFIG", site.folder.1.with_extension("json"))
+            .env("RELAY_STATE", &site.folder.1)
+            .env("RELAY_ACCEPT_FD", number)
+            .output()
+            .await
+            .expect("it starts");
+        let log = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && log.contains(says), "{log}");
+    }
+}
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -270,6 +270,13 @@
             Event::Message(message) => self.admit(message, &Past::default()),
             Event::Recovered(message, past) => self.admit(message, past),
             Event::Remembered { destination, route, trouble } => self.recall(*destination, *route, *trouble),
+            Event::Waits { destination, route, wait } => {
+                let Some(d) = self.destinations.get_mut(destination) else { return };
+                let index = d.routes.iter().position(|r| Some(r.id) == *route);
+                let scope = if d.apart { index.map(Scope::Route) } else { Some(Scope::All) };
+                let (until, gate) = (self.now + wait, scope.map(|scope| d.gate_of_mut(scope)));
+                gate.into_iter().for_each(|gate| gate.wait_until = gate.wait_until.max(until));
+            }
             Event::Started { id, attempt } => {
                 let out = self.messages.get_mut(id).filter(|m| m.out.is_some_and(|out| out.0 == *attempt));
                 out.into_iter().for_each(|m| m.ends_at = f64::INFINITY);
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -381,6 +381,15 @@
         /// What was believed of it.
         trouble: Trouble,
     },
+    /// Another process of this sender was told to wait: a destination, or one route where routes are apart.
+    Waits {
+        /// The destination.
+        destination: DestinationId,
+        /// The route, where routes are apart.
+        route: Option<RouteId>,
+        /// How long from now.
+        wait: Millis,
+    },
     /// A streamed answer has begun; the attempt belongs to the client from here.
     Started {
         /// The message.
--- a/crates/sender/src/door.rs
+++ b/crates/sender/src/door.rs
@@ -10,11 +10,18 @@
     Standby,
     /// The process is about to end.
     Stopping,
+    /// It is, and another one takes clients by the same listener: they miss nothing.
+    Leaving,
 }
 
 impl Door {
+    /// Whether the process is about to end.
+    pub fn ends(self) -> bool {
+        matches!(self, Self::Stopping | Self::Leaving)
+    }
+
     /// The state that an operator asks for; a process that stops goes on stopping.
     pub fn turned(self, to: Self) -> Self {
-        if self == Self::Stopping { self } else { to }
+        if matches!(self, Self::Open | Self::Standby) { to } else { self }
     }
 }
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -16,6 +16,7 @@
 
 use crate::event::{Answer, Call, Input, List, Member, Report, Submission};
 use crate::figures::{End, Figures, Standing};
+use crate::handover::{self, Neighbour, Word};
 use crate::outbound::{Outbound, Route};
 use crate::reports::Reports;
 
@@ -77,6 +78,9 @@
     outbound: Rc<Outbound>,
     reports: Rc<Reports>,
     figures: Rc<Figures>,
+    neighbour: Rc<Neighbour>,
+    /// Whether clients come by a listener that a successor has, too.
+    shared_door: bool,
     inputs: mpsc::Receiver<Input>,
     origin: Instant,
     last_batch: Instant,
@@ -106,6 +110,8 @@
     pub outbound: Rc<Outbound>,
     pub reports: Rc<Reports>,
     pub figures: Rc<Figures>,
+    pub neighbour: Rc<Neighbour>,
+    pub shared_door: bool,
     pub inputs: mpsc::Receiver<Input>,
 }
 
@@ -116,7 +122,8 @@
     ///
     /// [`SettingsError`] if the settings cannot work.
     pub fn new(parts: Parts, known: &List, fetched: Option<&List>) -> Result<Self, SettingsError> {
-        let Parts { settings, names, seed, store, outbound, reports, figures, inputs } = parts;
+        let Parts { settings, names, seed, store, outbound, reports, .. } = parts;
+        let Parts { figures, neighbour, shared_door, inputs, .. } = parts;
         let now = Instant::now();
         let mut engine = Self {
             sender: Sender::new(settings.clone(), seed)?,
@@ -127,6 +134,8 @@
             outbound,
             reports,
             figures,
+            neighbour,
+            shared_door,
             inputs,
             origin: now,
             last_batch: now,
@@ -152,7 +161,8 @@
             engine.carried.push(Event::List(ListChange::Full(entries)));
         }
         engine.carried.extend(engine.recall());
-        engine.recover(now);
+        let (open, owed) = (engine.store.open_messages().cloned().collect(), engine.store.owed().collect());
+        engine.recover(now, open, owed);
         engine.batch(Vec::new());
         Ok(engine)
     }
@@ -195,7 +205,8 @@
         let done = idle && (self.held.is_empty() || since >= STOP_SENDING);
         // Those whose request is still coming are heard: they would have to begin again elsewhere.
         let heard = self.figures.clients() == 0;
-        since >= STOP_LAST || (done && heard && since >= STOP_FIRST)
+        let first = if self.shared_door { Duration::ZERO } else { STOP_FIRST };
+        since >= STOP_LAST || (done && heard && since >= first)
     }
 
     fn batch(&mut self, inputs: Vec<Input>) {
@@ -220,11 +231,20 @@
                     events.push(Event::List(change));
                 }
                 Input::Settled(txns) => txns.iter().for_each(|txn| self.store.settled(txn)),
+                Input::Successor(came) => self.successor(came),
+                Input::Waits { destination, receiver, ms } => {
+                    events.extend(self.heed(destination, receiver.as_deref(), ms));
+                }
+                Input::Succeed(asker) => {
+                    self.succeed(now);
+                    let _ = asker.send(self.store.is_owner());
+                }
                 // Nobody may wait for it any more.
                 Input::Look(asker) => drop(asker.send(self.standing())),
                 Input::Stop => self.stop = self.stop.or(Some(now)),
             }
         }
+        events.append(&mut self.carried);
         self.wakes.retain(|&(at, token)| {
             let due = at <= now;
             if due {
@@ -503,13 +523,79 @@
         }
     }
 
+    // ---- Two processes for a while ---------------------------------------------------------------------------
+
+    /// A successor gets half of the disk, and hears what is known of outages and waits.
+    fn successor(&mut self, came: bool) {
+        if !self.store.is_owner() {
+            // It is the owner that is gone; its journal's lock says when it has ended.
+            return;
+        }
+        if let Err(error) = self.store.share(came) {
+            tracing::warn!("journal: no room could be made for a successor: {error}");
+        }
+        if !came {
+            return;
+        }
+        tracing::info!("handover: a successor has come");
+        for ((destination, receiver), trouble) in self.store.memories() {
+            let trouble = match trouble {
+                journal::Trouble::Down { wait } => handover::Trouble::Down { wait },
+                journal::Trouble::Cold { ago, part } => handover::Trouble::Cold { ago, part },
+            };
+            let (destination, receiver) = (*destination, receiver.to_string());
+            self.neighbour.tell(Word::Trouble { destination, receiver, trouble });
+        }
+        self.outbound.waits().into_iter().for_each(|word| self.neighbour.tell(word));
+        self.neighbour.tell(Word::Room);
+    }
+
+    /// What a predecessor tells a process that begins: as if its own journal had said so.
+    pub fn hear(store: &mut Store, told: &[Word]) {
+        for word in told {
+            if let Word::Trouble { destination, receiver, trouble } = word {
+                let trouble = match *trouble {
+                    handover::Trouble::Down { wait } => journal::Trouble::Down { wait },
+                    handover::Trouble::Cold { ago, part } => journal::Trouble::Cold { ago, part },
+                };
+                store.remember((*destination, receiver.as_str().into()), Some(trouble));
+            }
+        }
+    }
+
+    /// The other process of this sender was told to wait.
+    fn heed(&mut self, destination: u16, receiver: Option<&str>, wait: Millis) -> Option<Event> {
+        let route = match receiver {
+            None => None,
+            // One that is on no list here gets nothing anyway.
+            Some(receiver) => Some(self.routes.get(receiver)?.route),
+        };
+        let destination = DestinationId(destination);
+        self.outbound.heed(destination, route, wait);
+        Some(Event::Waits { destination, route, wait })
+    }
+
+    /// If the process that owned the journal has ended, what it owed is ours.
+    fn succeed(&mut self, now: Instant) {
+        match self.store.succeed() {
+            Ok(None) => {}
+            Ok(Some(over)) => {
+                tracing::info!(
+                    "handover: taken over: {} messages, {} notices",
+                    over.open.len(),
+                    over.owed.len()
+                );
+                self.recover(now, over.open, over.owed);
+            }
+            Err(error) => tracing::warn!("handover: the older journal cannot be read yet: {error}"),
+        }
+    }
+
     /// Hands the module what the journal holds, with each message's history; and the platform what it has
     /// not acknowledged. An attempt without an outcome may have run.
-    fn recover(&mut self, now: Instant) {
-        let owed: Vec<Notice> = self.store.owed().collect();
+    fn recover(&mut self, now: Instant, messages: Vec<journal::Message>, owed: Vec<Notice>) {
         owed.into_iter().for_each(|notice| self.reports.push(notice));
         let wall = journal::wall_ms();
-        let messages: Vec<journal::Message> = self.store.open_messages().cloned().collect();
         if !messages.is_empty() {
             tracing::warn!("journal: {} messages taken up again", messages.len());
         }
@@ -675,10 +761,23 @@
         let names = rudderspindle_decide::settings::names(&json).expect("names");
         let (to_engine, inputs) = mpsc::channel(16);
         let figures = Rc::new(Figures::new(&names.classes));
-        let outbound = Rc::new(Outbound::new(&settings, 8, figures.clone(), to_engine.clone()));
+        let neighbour = Rc::new(Neighbour::default());
+        let outbound =
+            Rc::new(Outbound::new(&settings, 8, figures.clone(), neighbour.clone(), to_engine.clone()));
         let store = Store::open(state, 3_000_000).expect("a journal");
         let reports = Rc::default();
-        let parts = Parts { settings, names, seed: 1, store, outbound, reports, figures, inputs };
+        let parts = Parts {
+            settings,
+            names,
+            seed: 1,
+            store,
+            outbound,
+            reports,
+            figures,
+            neighbour,
+            shared_door: false,
+            inputs,
+        };
         let member =
             serde_json::json!({"id": "r1", "host_port": "127.0.0.1:1", "cell": 7, "phase": "SERVING"});
         let list = serde_json::json!({"revision": 1, "complete": true, "members": [member]});
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -32,6 +32,16 @@
     List(List),
     /// Notices that the platform has.
     Settled(Vec<Txn>),
+    /// A process that will take over from this one has come, or the other of the two is gone.
+    Successor(bool),
+    /// The other process of this sender was told to wait.
+    Waits {
+        destination: u16,
+        receiver: Option<String>,
+        ms: Millis,
+    },
+    /// Take the journal over, if the process that owns it has ended; whether it is ours is answered.
+    Succeed(oneshot::Sender<bool>),
     /// How does the engine stand?
     Look(oneshot::Sender<Standing>),
     /// SIGTERM.
--- /dev/null
+++ b/crates/sender/src/handover.rs
@@ -0,0 +1,204 @@
+//! Between a running process and the one that will take over from it: told waits, what is known of outages, and
+//! room on the disk. One stream socket in the folder that both use, one line of JSON for each word, both ways.
+//!
+//! It carries nothing that must not be lost: messages go over by the journal alone.
+
+use std::cell::RefCell;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::event::Input;
+
+/// The socket in the folder.
+const SOCKET: &str = "handover";
+/// What this program speaks. One that speaks another gets no answer and does without.
+const VERSION: u32 = 1;
+/// A word is no longer than this.
+const LONGEST_WORD: u64 = 2_048;
+/// Words that may wait to be written. A process that does not read so many is not there.
+const QUEUE: usize = 2_048;
+/// For so long a successor waits for what its predecessor knows.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What one process tells the other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Word {
+    /// A successor's first: the version that it speaks.
+    Hello(u32),
+    /// What is known of a partner's outage, or of a receiver's.
+    Trouble { destination: u16, receiver: String, trouble: Trouble },
+    /// A receiver told to wait for so many milliseconds more: its whole partner, or (where routes are apart) it alone.
+    Wait { destination: u16, receiver: Option<String>, ms: f64 },
+    /// The successor has half of the disk, and has been told all that was known.
+    Room,
+}
+
+/// As the journal keeps it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Trouble {
+    Down { wait: u64 },
+    Cold { ago: i64, part: f64 },
+}
+
+/// The way to the other process; words to one that is gone are dropped.
+#[derive(Debug, Default)]
+pub struct Neighbour(RefCell<Option<mpsc::Sender<Word>>>);
+
+impl Neighbour {
+    /// Whether there is one.
+    pub fn is_there(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|to| !to.is_closed())
+    }
+
+    /// Tells it, if it is there.
+    pub fn tell(&self, word: Word) {
+        if let Some(to) = &*self.0.borrow() {
+            // One that reads nothing for so long is as good as gone.
+            let _ = to.try_send(word);
+        }
+    }
+
+    fn meet(&self, to: mpsc::Sender<Word>) {
+        *self.0.borrow_mut() = Some(to);
+    }
+}
+
+/// What a predecessor told at the start.
+#[derive(Debug, Default)]
+pub struct Told {
+    /// Troubles and waits, in the order in which they were told.
+    pub words: Vec<Word>,
+    /// Whether it left half of the disk.
+    pub room: bool,
+}
+
+/// Asks the process that owns the folder for what it knows, and goes on listening to it. Without an answer in
+/// time a successor does without.
+pub async fn introduce(folder: &Path, neighbour: &Rc<Neighbour>, host: &mpsc::Sender<Input>) -> Told {
+    let mut told = Told::default();
+    match timeout(PATIENCE, ask(folder, &mut told)).await {
+        Ok(Ok((reader, writer))) => link(reader, writer, neighbour, host),
+        Ok(Err(error)) => tracing::warn!("handover: {error}; going on without what the older process knows"),
+        Err(_) => {
+            tracing::warn!("handover: the older process does not answer; going on without what it knows")
+        }
+    }
+    told
+}
+
+type Reader = BufReader<OwnedReadHalf>;
+
+async fn ask(folder: &Path, told: &mut Told) -> io::Result<(Reader, OwnedWriteHalf)> {
+    let (reader, mut writer) = UnixStream::connect(folder.join(SOCKET)).await?.into_split();
+    let mut reader = BufReader::new(reader);
+    write(&mut writer, &Word::Hello(VERSION)).await?;
+    while let Some(word) = read(&mut reader).await? {
+        if word == Word::Room {
+            told.room = true;
+            return Ok((reader, writer));
+        }
+        told.words.push(word);
+    }
+    Err(io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Waits for successors, for good; one at a time. What they say goes to the host.
+pub async fn expect(folder: PathBuf, neighbour: Rc<Neighbour>, host: mpsc::Sender<Input>) {
+    let path = folder.join(SOCKET);
+    // What an earlier process left there is nobody's: the folder is ours.
+    let _ = std::fs::remove_file(&path);
+    let listener = match UnixListener::bind(&path) {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::warn!("handover: {error}; a successor will do without what this process knows");
+            return;
+        }
+    };
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(_) => {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (reader, writer) = stream.into_split();
+        let mut reader = BufReader::new(reader);
+        match timeout(PATIENCE, read(&mut reader)).await {
+            Ok(Ok(Some(Word::Hello(VERSION)))) if !neighbour.is_there() => {
+                link(reader, writer, &neighbour, &host);
+                if host.send(Input::Successor(true)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(Ok(Some(word))) => tracing::warn!("handover: turned away: {word:?}"),
+            _ => tracing::warn!("handover: a connection said nothing that is understood"),
+        }
+    }
+}
+
+/// From here on both ways are open; the host hears when the other is gone.
+fn link(
+    mut reader: Reader,
+    mut writer: OwnedWriteHalf,
+    neighbour: &Rc<Neighbour>,
+    host: &mpsc::Sender<Input>,
+) {
+    let (to, mut words) = mpsc::channel(QUEUE);
+    neighbour.meet(to);
+    let (host, neighbour) = (host.clone(), neighbour.clone());
+    spawn_local(async move {
+        let hear = async {
+            while let Ok(Some(word)) = read(&mut reader).await {
+                if let Word::Wait { destination, receiver, ms } = word
+                    && host.send(Input::Waits { destination, receiver, ms }).await.is_err()
+                {
+                    break;
+                }
+            }
+        };
+        let say = async {
+            while let Some(word) = words.recv().await {
+                if !matches!(timeout(PATIENCE, write(&mut writer, &word)).await, Ok(Ok(()))) {
+                    break;
+                }
+            }
+        };
+        tokio::select! {
+            () = hear => {}
+            () = say => {}
+        }
+        neighbour.0.borrow_mut().take();
+        let _ = host.send(Input::Successor(false)).await;
+    });
+}
+
+async fn write(writer: &mut OwnedWriteHalf, word: &Word) -> io::Result<()> {
+    let mut line = serde_json::to_vec(word)?;
+    line.push(b'\n');
+    writer.write_all(&line).await
+}
+
+/// The next word; `None` at the end.
+async fn read(reader: &mut Reader) -> io::Result<Option<Word>> {
+    let mut line = Vec::new();
+    reader.take(LONGEST_WORD).read_until(b'\n', &mut line).await?;
+    if line.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(serde_json::from_slice(&line)?))
+}
--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -100,11 +100,17 @@
         }
     }
 
-    /// Accepts connections for good.
+    /// Accepts connections, until another process does it alone.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().look_after_clients());
+        let mut door = self.door.clone();
         for number in 0.. {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = door.wait_for(|door| *door == Door::Leaving) => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, peer)) => {
                     let permit = self.place().await;
                     let client = Rc::new(Client::new(number));
@@ -204,7 +210,8 @@
         client: &Client,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let mut answer = match (request.method(), request.uri().path()) {
-            (&Method::GET, READY) if *self.door.borrow() != Door::Open => {
+            // A process that leaves clients to its successor is one with it: both are the sender, which is ready.
+            (&Method::GET, READY) if matches!(*self.door.borrow(), Door::Standby | Door::Stopping) => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
             }
             (&Method::GET, READY) => plain(StatusCode::OK, "ready"),
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -11,7 +11,7 @@
 //! # async fn example() -> Result<(), rudderspindle_sender::StartError> {
 //! // Within a tokio LocalSet:
 //! let usable = Usable::read("config.json".as_ref())?;
-//! let service = Service::start(usable, "state".as_ref()).await?;
+//! let service = Service::start(usable, "state".as_ref(), None).await?;
 //! println!("listening on {}", service.local_addr());
 //! let control = service.control();
 //! tokio::task::spawn_local(async move {
@@ -29,6 +29,7 @@
 mod engine;
 mod event;
 mod figures;
+mod handover;
 mod inbound;
 mod meter;
 mod operator;
--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -108,7 +108,7 @@
 
     async fn answer(&self, call: Option<Call>) -> String {
         match call {
-            Some(Call::Status) if *self.door.borrow() == Door::Stopping => "error stopping\n".to_owned(),
+            Some(Call::Status) if self.door.borrow().ends() => "error stopping\n".to_owned(),
             Some(Call::Status) => "done\n".to_owned(),
             Some(Call::Stats) => {
                 self.look().await;
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -22,6 +22,7 @@
 
 use crate::event::{Call, IDEMPOTENCY_KEY, Input, Report};
 use crate::figures::Figures;
+use crate::handover::{Neighbour, Word};
 use crate::meter::{MAX_BUFFER, Meter, Metered};
 
 const X_TXN: HeaderName = HeaderName::from_static("x-txn");
@@ -64,11 +65,19 @@
     connect_timeout: Duration,
     idle_time: Duration,
     figures: Rc<Figures>,
+    /// Hears of every wait that is told.
+    neighbour: Rc<Neighbour>,
     host: mpsc::Sender<Input>,
 }
 
 impl Outbound {
-    pub fn new(settings: &Settings, sockets: usize, figures: Rc<Figures>, host: mpsc::Sender<Input>) -> Self {
+    pub fn new(
+        settings: &Settings,
+        sockets: usize,
+        figures: Rc<Figures>,
+        neighbour: Rc<Neighbour>,
+        host: mpsc::Sender<Input>,
+    ) -> Self {
         let idle_close = Duration::from_secs_f64(settings.idle_close.max(0.0) / 1_000.0);
         Self {
             routes: RefCell::default(),
@@ -78,6 +87,7 @@
             connect_timeout: Duration::from_secs_f64(settings.connect_timeout.max(1.0) / 1_000.0),
             idle_time: idle_close.saturating_sub(IDLE_MARGIN).max(idle_close / 2),
             figures,
+            neighbour,
             host,
         }
     }
@@ -205,6 +215,7 @@
                     Some((report, body)) => {
                         if report.wait > 0.0 {
                             self.wait(waits, report.wait);
+                            self.neighbour.tell(self.word(waits, report.wait));
                         }
                         return (report, Some((connection, body)));
                     }
@@ -260,6 +271,31 @@
         self.waits.borrow().get(&route.waits(id)).is_none_or(|&until| until <= Instant::now())
     }
 
+    /// The other process of this sender was told to wait.
+    pub fn heed(&self, destination: DestinationId, route: Option<RouteId>, wait: Millis) {
+        let waits = route.map_or(Waits::Destination(destination), Waits::Route);
+        self.wait(waits, wait.clamp(0.0, LONGEST_WAIT));
+    }
+
+    /// Every wait that is not over, as one process tells it the other.
+    pub fn waits(&self) -> Vec<Word> {
+        let now = Instant::now();
+        let left = |until: Instant| until.saturating_duration_since(now).as_secs_f64() * 1_000.0;
+        self.waits.borrow().iter().map(|(waits, until)| self.word(*waits, left(*until))).collect()
+    }
+
+    fn word(&self, waits: Waits, ms: Millis) -> Word {
+        match waits {
+            Waits::Destination(DestinationId(destination)) => Word::Wait { destination, receiver: None, ms },
+            Waits::Route(route) => {
+                let routes = self.routes.borrow();
+                let route = routes.get(&route);
+                let destination = route.map_or(0, |r| r.destination.0);
+                Word::Wait { destination, receiver: Some(route.map_or("", |r| &*r.receiver).to_owned()), ms }
+            }
+        }
+    }
+
     /// Also for a route that has left the list since: its destination has others.
     fn wait(&self, waits: Waits, wait: Millis) {
         let until = Instant::now() + Duration::from_secs_f64(wait / 1_000.0);
@@ -434,7 +470,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (to_engine, inputs) = mpsc::channel(16);
         let figures = Rc::new(Figures::new(&[]));
-        let outbound = Rc::new(Outbound::new(&settings, 8, figures, to_engine));
+        let outbound = Rc::new(Outbound::new(&settings, 8, figures, Rc::default(), to_engine));
         outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
         (outbound, listener, inputs)
     }
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -1,13 +1,13 @@
 //! One sender, put together: journal, engine, ways in and out, membership and notices.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use rudderspindle_journal::Store;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::spawn_local;
 
 use crate::config::{StartError, Usable};
@@ -16,6 +16,7 @@
 use crate::engine::{Engine, Parts};
 use crate::event::{Input, List};
 use crate::figures::Figures;
+use crate::handover::{self, Neighbour, Told, Word};
 use crate::inbound::{self, Inbound};
 use crate::operator::Operator;
 use crate::outbound::Outbound;
@@ -23,6 +24,8 @@
 
 /// Inputs that may wait for the engine.
 const QUEUE: usize = 4096;
+/// How often a successor looks whether the process that owns the journal has ended.
+const SUCCEED: Duration = Duration::from_millis(20);
 /// What was answered last still has to reach the sockets when the engine is done.
 const LAST_WRITES: Duration = Duration::from_millis(20);
 
@@ -39,25 +42,54 @@
     to_engine: mpsc::Sender<Input>,
     door: watch::Sender<Door>,
     discovery: watch::Sender<SocketAddr>,
+    neighbour: Rc<Neighbour>,
+    shared_door: bool,
 }
 
 impl Service {
     /// Takes up what the journal in the folder `state` holds, and listens. Its tasks run on the current
     /// [`tokio::task::LocalSet`], and end with it; to drop that is what a kill is to the program.
     ///
+    /// With `door`, a listening socket that another process of this sender may hold as well, clients come by that
+    /// instead of by the configured address; then a process may already use the folder: this one is its successor.
+    ///
     /// # Errors
     ///
-    /// [`StartError`] if the journal or the address cannot be had.
-    pub async fn start(usable: Usable, state: &Path) -> Result<Self, StartError> {
+    /// [`StartError`] if the journal or an address cannot be had.
+    pub async fn start(
+        usable: Usable,
+        state: &Path,
+        door: Option<std::net::TcpListener>,
+    ) -> Result<Self, StartError> {
         let Usable { config, settings, names } = usable;
+        // First of all: who cannot listen leaves the folder alone.
+        let shared_door = door.is_some();
+        let listener = clients(door, config.listen).await?;
+        let addr =
+            listener.local_addr().map_err(|error| StartError::Listen { addr: config.listen, error })?;
+        let control = match config.control {
+            Some(addr) => Some(bind(addr).await?),
+            None => None,
+        };
         let share = config.limits.share();
         let budget = (config.limits.disk_mb.max(0.0) * 1_000_000.0) as u64;
-        let store = Store::open(state, budget)
+        let mut store = Store::open(state, budget)
             .map_err(|error| StartError::Journal { path: state.to_owned(), error })?;
         let (to_engine, inputs) = mpsc::channel(QUEUE);
+        let neighbour = Rc::new(Neighbour::default());
+        let told = if store.is_owner() {
+            spawn_local(handover::expect(state.to_owned(), neighbour.clone(), to_engine.clone()));
+            Told::default()
+        } else {
+            let told = handover::introduce(state, &neighbour, &to_engine).await;
+            Engine::hear(&mut store, &told.words);
+            spawn_local(succeed(state.to_owned(), neighbour.clone(), to_engine.clone()));
+            told
+        };
         let (door, at_the_door) = watch::channel(Door::Open);
         let figures = Rc::new(Figures::new(&names.classes));
-        let outbound = Rc::new(Outbound::new(&settings, share, figures.clone(), to_engine.clone()));
+        let outbound =
+            Rc::new(Outbound::new(&settings, share, figures.clone(), neighbour.clone(), to_engine.clone()));
         let reports = Rc::new(Reports::default());
         let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_default();
         let known = config.known.unwrap_or(List { revision: 0, complete: true, members: Vec::new() });
@@ -69,6 +101,8 @@
             outbound: outbound.clone(),
             reports: reports.clone(),
             figures: figures.clone(),
+            neighbour: neighbour.clone(),
+            shared_door,
             inputs,
         };
         // What the journal holds is taken up before the first client is heard.
@@ -77,10 +111,11 @@
         let fetched = discovery::fetch(config.discovery).await;
         let revision = fetched.as_ref().map(|list| list.revision);
         let engine = Engine::new(parts, &known, fetched.as_ref())?;
-        let addr = config.listen;
-        let cannot_listen = |error| StartError::Listen { addr, error };
-        let listener = TcpListener::bind(addr).await.map_err(cannot_listen)?;
-        let addr = listener.local_addr().map_err(cannot_listen)?;
+        for word in told.words {
+            if let Word::Wait { destination, receiver, ms } = word {
+                let _ = to_engine.send(Input::Waits { destination, receiver, ms }).await;
+            }
+        }
         let (discovery, address) = watch::channel(config.discovery);
         spawn_local(discovery::watch(address.clone(), revision, to_engine.clone()));
         spawn_local({
@@ -92,14 +127,15 @@
         let inbound =
             Rc::new(Inbound::new(settings, names, limits, figures.clone(), to_engine.clone(), at_the_door));
         spawn_local(inbound.run(listener));
-        if let Some(addr) = config.control {
-            let cannot_listen = |error| StartError::Listen { addr, error };
-            let listener = TcpListener::bind(addr).await.map_err(cannot_listen)?;
-            tracing::info!("operators: listening on {}", listener.local_addr().map_err(cannot_listen)?);
+        if let Some(listener) = control {
+            if let Ok(addr) = listener.local_addr() {
+                tracing::info!("operators: listening on {addr}");
+            }
             let operator = Operator { figures, door: door.clone(), host: to_engine.clone() };
             spawn_local(Rc::new(operator).run(listener));
         }
-        Ok(Self { engine, control: Control { to_engine, door, discovery }, addr })
+        let control = Control { to_engine, door, discovery, neighbour, shared_door };
+        Ok(Self { engine, control, addr })
     }
 
     /// Where clients connect.
@@ -125,7 +161,8 @@
     /// Stops the service: it goes on answering for a while, lets calls finish, and leaves the rest to the
     /// journal. [`Service::run`] then ends within 3.5 s.
     pub async fn stop(&self) {
-        self.door.send_replace(Door::Stopping);
+        let succeeded = self.shared_door && self.neighbour.is_there();
+        self.door.send_replace(if succeeded { Door::Leaving } else { Door::Stopping });
         let _ = self.to_engine.send(Input::Stop).await;
     }
 
@@ -135,3 +172,31 @@
         self.discovery.send_if_modified(|addr| std::mem::replace(addr, to) != to);
     }
 }
+
+/// The listener that clients come by.
+async fn clients(door: Option<std::net::TcpListener>, addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let Some(door) = door else { return bind(addr).await };
+    let adopt = |door: std::net::TcpListener| {
+        door.set_nonblocking(true)?;
+        TcpListener::from_std(door)
+    };
+    adopt(door).map_err(|error| StartError::Listen { addr, error })
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr).await.map_err(|error| StartError::Listen { addr, error })
+}
+
+/// Has the engine look until the journal is ours; then the next successor may come.
+async fn succeed(state: PathBuf, neighbour: Rc<Neighbour>, host: mpsc::Sender<Input>) {
+    loop {
+        tokio::time::sleep(SUCCEED).await;
+        let (owner, is_owner) = oneshot::channel();
+        if host.send(Input::Succeed(owner)).await.is_err() {
+            return;
+        }
+        if is_owner.await.unwrap_or(false) {
+            return handover::expect(state, neighbour, host).await;
+        }
+    }
+}
--- a/crates/sender/tests/service.rs
+++ b/crates/sender/tests/service.rs
@@ -28,7 +28,7 @@
     let folder = tempfile::tempdir().expect("a folder");
     let test = async {
         let usable = Usable::read(&configuration(folder.path(), settings())).expect("usable");
-        let service = Service::start(usable, folder.path()).await.expect("it starts");
+        let service = Service::start(usable, folder.path(), None).await.expect("it starts");
         let (addr, control) = (service.local_addr(), service.control());
         let running = spawn_local(service.run());
         let mut client = TcpStream::connect(addr).await.expect("a connection");
