A call lost by itself takes no slots from its partner; two processes share the slots

Where connections fall silent one by one, a call hangs among answered ones for its 3 s time-out. Now only a call after which nothing was heard counts.

During a takeover each process used all slots, and calls beyond them came back as attempts; they now tell one another how many are out.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -103,6 +103,8 @@
     busy: BTreeSet<DestinationId>,
     messages: BTreeMap<MessageId, Held>,
     calls_out: usize,
+    /// Slots that another process of this sender uses.
+    lent: usize,
     next_call: u64,
     keys: BTreeMap<u64, KeyQueue>,
     /// Messages taken so far; per tenant: messages left within its share, and as of when.
@@ -220,6 +222,7 @@
             busy: BTreeSet::new(),
             messages: BTreeMap::new(),
             calls_out: 0,
+            lent: 0,
             next_call: 0,
             keys: BTreeMap::new(),
             taken: 0.0,
@@ -255,6 +258,11 @@
         routes + self.messages.len() + self.keys.len()
     }
 
+    /// Another process of this sender uses so many of its slots now. One at the least stays ours.
+    pub fn share_slots(&mut self, used: usize) {
+        self.lent = used.min(self.settings.slots.saturating_sub(1));
+    }
+
     /// Routes on the list that take no ordinary calls of ours now: they drain, are down, or told to wait.
     pub fn avoided(&self) -> usize {
         let avoided = |d: &Destination, r: usize| match d.routes[r].listing {
@@ -958,10 +966,11 @@
             if open.is_empty() {
                 return;
             }
-            // Departure (few slots are free): some are left to others, more when a call here is overdue.
-            let stuck = (0..d.routes.len()).any(|r| d.overdue(r, self.now).next().is_some());
-            let free =
-                self.settings.slots.saturating_sub(self.calls_out) * if stuck { 1 } else { SLOTS_LEFT };
+            // Departure (few slots are free): some are left to others, more when a call here is overdue and nothing
+            // was heard since it was sent. One that is lost by itself among answered ones tells nothing.
+            let stuck = (0..d.routes.len()).any(|r| d.unheard(r, self.now) > 0);
+            let free = self.settings.slots.saturating_sub(self.calls_out + self.lent)
+                * if stuck { 1 } else { SLOTS_LEFT };
             let out: usize = d.routes.iter().map(|r| r.out).sum();
             if free == 0 || (out > 0 && out >= free * d.room) {
                 return;
--- a/crates/decide/tests/throttle.rs
+++ b/crates/decide/tests/throttle.rs
@@ -230,3 +230,51 @@
     // The told rate is 10 calls a second, and all of it is this sender's.
     assert!(delivered > 20 * 15, "{delivered} in 20 times 8 s");
 }
+
+/// Calls out at a busy destination once one call hangs; with `heard`, others sent later were answered.
+fn out_beside_a_hung_call(heard: bool) -> usize {
+    let settings = Settings { slots: 6, ..safe() };
+    let mut b = Bench::new(settings, 1);
+    let hot = RouteEntry { rate: 1_000.0, ..entry(1, 0, 0, 0) };
+    b.step(0.0, &[list(vec![hot])]);
+    assert_eq!(sends(&b.step(1_000.0, &[message(0, 0, 0)])).len(), 1);
+    if heard {
+        for n in 1..4 {
+            assert_eq!(sends(&b.step(200.0, &[message(n, 0, 0)])).len(), 1);
+            b.step(100.0, &[outcome(n, 0, Outcome::Ok, 0.0)]);
+        }
+    }
+    let wait = if heard { 500.0 } else { 1_400.0 };
+    let mut sent = sends(&b.step(wait, &(10..30).map(|n| message(n, 0, 0)).collect::<Vec<_>>())).len();
+    // Draws are paced; no answer comes meanwhile.
+    for _ in 0..20 {
+        sent += sends(&b.step(5.0, &[])).len();
+    }
+    1 + sent
+}
+
+/// A connection that falls silent hangs one call. Beside answered ones it took most of the slots from its partner.
+#[test]
+fn a_call_lost_by_itself_takes_no_slots_from_its_destination_and_a_silent_one_does() {
+    assert_eq!(out_beside_a_hung_call(true), 5);
+    assert_eq!(out_beside_a_hung_call(false), 3);
+}
+
+/// Two processes of one sender have its slots between them.
+#[test]
+fn slots_that_another_process_uses_are_not_ours() {
+    let settings = Settings { slots: 6, ..safe() };
+    let mut b = Bench::new(settings, 1);
+    let hot = |n| RouteEntry { rate: 1_000.0, ..entry(u64::from(n) + 1, n, 0, 0) };
+    b.sender.share_slots(4);
+    let messages: Vec<Event> = (0..6).map(|n| message(n, 0, n as u16)).collect();
+    b.step(0.0, &[list((0..6).map(hot).collect())]);
+    assert_eq!(sends(&b.step(1_000.0, &messages)).len(), 2);
+    b.sender.share_slots(0);
+    assert_eq!(sends(&b.step(1_000.0, &[message(9, 0, 0)])).len(), 4);
+    // Ours even if the other one has them all: or what is held here would starve.
+    b.sender.share_slots(6);
+    let answers: Vec<Event> = (0..6).map(|n| outcome(n, 0, Outcome::Ok, 0.0)).collect();
+    assert_eq!(sends(&b.step(5.0, &answers)), [(9, 1)]);
+    assert_eq!(sends(&b.step(1_000.0, &[message(20, 0, 0), message(21, 0, 1)])), []);
+}
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -79,6 +79,8 @@
     reports: Rc<Reports>,
     figures: Rc<Figures>,
     neighbour: Rc<Neighbour>,
+    /// Calls out, as the neighbour was last told.
+    told_out: usize,
     /// Whether clients come by a listener that a successor has, too.
     shared_door: bool,
     inputs: mpsc::Receiver<Input>,
@@ -135,6 +137,7 @@
             reports,
             figures,
             neighbour,
+            told_out: 0,
             shared_door,
             inputs,
             origin: now,
@@ -235,6 +238,7 @@
                 Input::Waits { destination, receiver, ms } => {
                     events.extend(self.heed(destination, receiver.as_deref(), ms));
                 }
+                Input::OutElsewhere(calls) => self.sender.share_slots(calls),
                 Input::Succeed(asker) => {
                     self.succeed(now);
                     let _ = asker.send(self.store.is_owner());
@@ -348,6 +352,10 @@
             let id = call.id;
             self.calls.insert(id, self.outbound.start(call));
         }
+        if self.neighbour.is_there() && self.told_out != self.calls.len() {
+            self.told_out = self.calls.len();
+            self.neighbour.tell(Word::Out(self.told_out));
+        }
     }
 
     /// A message handed in, unless it is turned away at the door.
@@ -527,6 +535,9 @@
 
     /// A successor gets half of the disk, and hears what is known of outages and waits.
     fn successor(&mut self, came: bool) {
+        if !came {
+            self.sender.share_slots(0);
+        }
         if !self.store.is_owner() {
             // It is the owner that is gone; its journal's lock says when it has ended.
             return;
@@ -547,6 +558,8 @@
             self.neighbour.tell(Word::Trouble { destination, receiver, trouble });
         }
         self.outbound.waits().into_iter().for_each(|word| self.neighbour.tell(word));
+        self.told_out = self.calls.len();
+        self.neighbour.tell(Word::Out(self.told_out));
         self.neighbour.tell(Word::Room);
     }
 
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -40,6 +40,8 @@
         receiver: Option<String>,
         ms: Millis,
     },
+    /// So many calls of the other process of this sender are out.
+    OutElsewhere(usize),
     /// Take the journal over, if the process that owns it has ended; whether it is ours is answered.
     Succeed(oneshot::Sender<bool>),
     /// How does the engine stand?
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -42,10 +42,23 @@
     Trouble { destination: u16, receiver: String, trouble: Trouble },
     /// A receiver told to wait for so many milliseconds more: its whole partner, or (where routes are apart) it alone.
     Wait { destination: u16, receiver: Option<String>, ms: f64 },
+    /// So many calls are out here now: the slots are the sender's, not each process's.
+    Out(usize),
     /// The successor has half of the disk, and has been told all that was known.
     Room,
 }
 
+impl Word {
+    /// What the engine of the process that hears it is told; nothing of what is said only at the start.
+    pub fn input(self) -> Option<Input> {
+        match self {
+            Self::Wait { destination, receiver, ms } => Some(Input::Waits { destination, receiver, ms }),
+            Self::Out(calls) => Some(Input::OutElsewhere(calls)),
+            Self::Hello(_) | Self::Trouble { .. } | Self::Room => None,
+        }
+    }
+}
+
 /// As the journal keeps it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -164,9 +177,8 @@
     spawn_local(async move {
         let hear = async {
             while let Ok(Some(word)) = read(&mut reader).await {
-                if let Word::Wait { destination, receiver, ms } = word
-                    && host.send(Input::Waits { destination, receiver, ms }).await.is_err()
-                {
+                let Some(input) = word.input() else { continue };
+                if host.send(input).await.is_err() {
                     break;
                 }
             }
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -16,7 +16,7 @@
 use crate::engine::{Engine, Parts};
 use crate::event::{Input, List};
 use crate::figures::Figures;
-use crate::handover::{self, Neighbour, Told, Word};
+use crate::handover::{self, Neighbour, Told};
 use crate::inbound::{self, Inbound};
 use crate::operator::Operator;
 use crate::outbound::Outbound;
@@ -112,8 +112,8 @@
         let revision = fetched.as_ref().map(|list| list.revision);
         let engine = Engine::new(parts, &known, fetched.as_ref())?;
         for word in told.words {
-            if let Word::Wait { destination, receiver, ms } = word {
-                let _ = to_engine.send(Input::Waits { destination, receiver, ms }).await;
+            if let Some(input) = word.input() {
+                let _ = to_engine.send(input).await;
             }
         }
         let (discovery, address) = watch::channel(config.discovery);
