A call lost by itself is called off when its slot is wanted

A call that is overdue by 1.3 times, after ten later ones were answered by the same route, is lost by itself: when all slots are taken and messages wait there, it is called off, and (as its class allows) sent again.

--- a/crates/daemon/tests/sender.rs
+++ b/crates/daemon/tests/sender.rs
@@ -127,7 +127,9 @@
         receiver.call().await;
     }
     program.kill().await;
-    let journal = std::fs::read_dir(&folder.1).expect("a folder").next().expect("a file").expect("a file");
+    let mut files = std::fs::read_dir(&folder.1).expect("a folder").map(|file| file.expect("a file"));
+    let is_segment = |file: &std::fs::DirEntry| file.file_name().to_string_lossy().starts_with("journal-");
+    let journal = files.find(is_segment).expect("a segment");
     let whole = std::fs::read(journal.path()).expect("readable");
     // The first message's body is damaged: its record's sum no longer fits.
     let mut bytes = whole.clone();
--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -68,6 +68,10 @@
 const TRIAL_SPREAD: Millis = 2_000.0;
 /// Largest part of a partner in an outage that a sender takes for its own, where an equal part is less.
 const MOST_PART: f64 = 0.25;
+/// So many calls sent later and answered by the same route, and so many times the time after which it was overdue,
+/// show that a call is lost by itself.
+const PASSED: u32 = 10;
+const LOST_STRETCH: f64 = 1.3;
 /// Time-out of an attempt, in multiples of when it is overdue.
 const TIMEOUT_STRETCH: f64 = 3.0;
 /// How far ahead the loss by waiting is reckoned, ms.
@@ -172,6 +176,8 @@
     sent_at: Millis,
     left: usize,
     known: bool,
+    /// Calls sent later through its route and answered well; all there can be once it was called off.
+    passed: u32,
     /// Whether it used the pace up.
     limited: bool,
 }
@@ -634,6 +640,11 @@
                 gate.wait_until = gate.wait_until.max(again);
                 gate.draw_at = gate.draw_at.max(again + pause);
             }
+            if outcome == Outcome::Ok {
+                let id = d.routes[route].id;
+                let earlier = d.calls.iter_mut().filter(|c| c.route == id && c.sent_at < sent_at);
+                earlier.for_each(|c| c.passed = c.passed.saturating_add(1));
+            }
             d.calls[at].left -= 1;
             let first = !std::mem::replace(&mut d.calls[at].known, true);
             if d.calls[at].left == 0 {
@@ -958,6 +969,10 @@
                 d.routes.iter_mut().for_each(|r| r.health.clear());
             }
         }
+        if self.settings.cancelling && !queue.is_empty() && self.calls_out + self.lent >= self.settings.slots
+        {
+            self.call_off(d, actions);
+        }
         while let Some(message) = queue.pop_front() {
             if !self.has_turn(message) {
                 continue;
@@ -986,6 +1001,24 @@
         }
     }
 
+    /// Departure (all slots are taken): a call that is overdue by far, though calls sent later were answered there, is
+    /// lost by itself, and its slot is worth more to others.
+    fn call_off(&self, d: &mut Destination, actions: &mut Vec<Action>) {
+        let long = |c: &Call, r: usize| self.now - c.sent_at > LOST_STRETCH * d.overdue_after(r);
+        let lost = |c: &&Call| {
+            let route = d.routes.iter().position(|r| r.id == c.route);
+            !c.known && (PASSED..u32::MAX).contains(&c.passed) && route.is_some_and(|r| long(c, r))
+        };
+        let lost: Vec<u64> = d.calls.iter().filter(lost).map(|c| c.id).collect();
+        for (id, m) in self.messages.iter().filter(|_| !lost.is_empty()) {
+            let patient = self.settings.classes[m.class].effect != Effect::Unsafe;
+            if let Some((attempt, _)) = m.out.filter(|out| patient && lost.contains(&out.1)) {
+                actions.push(Action::Cancel { id: *id, attempt });
+            }
+        }
+        d.calls.iter_mut().filter(|c| lost.contains(&c.id)).for_each(|c| c.passed = u32::MAX);
+    }
+
     /// Order is kept: a message of an ordering key goes only when it is first and the key is at rest.
     fn has_turn(&self, id: MessageId) -> bool {
         let Some(m) = self.messages.get(&id) else { return false };
@@ -1076,7 +1109,15 @@
         let (call, id) = (self.next_call, route.id);
         self.next_call += 1;
         self.calls_out += 1;
-        d.calls.push(Call { id: call, route: id, sent_at: now, left: bundle.len(), known: false, limited });
+        d.calls.push(Call {
+            id: call,
+            route: id,
+            sent_at: now,
+            left: bundle.len(),
+            known: false,
+            passed: 0,
+            limited,
+        });
         for message in bundle {
             let timeout = self.timeout(d, message, index);
             let Some(m) = self.messages.get_mut(&message) else { continue };
--- a/crates/decide/tests/throttle.rs
+++ b/crates/decide/tests/throttle.rs
@@ -278,3 +278,33 @@
     assert_eq!(sends(&b.step(5.0, &answers)), [(9, 1)]);
     assert_eq!(sends(&b.step(1_000.0, &[message(20, 0, 0), message(21, 0, 1)])), []);
 }
+
+/// What is called off once one call of two hangs and `answered` later ones were answered; at the end a message waits,
+/// and both slots are taken if `full`.
+fn called_off(answered: u32, full: bool, effect: Effect) -> Vec<Action> {
+    let settings =
+        Settings { slots: if full { 2 } else { 9 }, cancelling: true, ..settings(vec![class(effect)]) };
+    let mut b = Bench::new(settings, 1);
+    b.step(0.0, &[list(vec![RouteEntry { rate: 1_000.0, ..entry(1, 0, 0, 0) }])]);
+    assert_eq!(sends(&b.step(1_000.0, &[message(0, 0, 0)])).len(), 1);
+    for n in 1..=answered {
+        assert_eq!(sends(&b.step(50.0, &[message(n, 0, 0)])).len(), 1, "message {n}");
+        b.step(50.0, &[outcome(n, 0, Outcome::Ok, 0.0)]);
+    }
+    let left = 1_400.0 - f64::from(answered) * 100.0;
+    let mut done = b.step(left, &[message(20, 0, 0)]);
+    done.extend(b.step(5.0, &[message(21, 0, 0)]));
+    done.extend(b.step(5.0, &[message(22, 0, 0)]));
+    done.retain(|action| matches!(action, Action::Cancel { .. }));
+    done
+}
+
+#[test]
+fn a_call_lost_by_itself_is_called_off_once_when_its_slot_is_wanted_and_only_then() {
+    let lost = Action::Cancel { id: MessageId(0), attempt: 0 };
+    assert_eq!(called_off(10, true, Effect::Safe), [lost]);
+    assert_eq!(called_off(10, false, Effect::Safe), []);
+    assert_eq!(called_off(9, true, Effect::Safe), []);
+    // One that must not be repeated gains nothing by it.
+    assert_eq!(called_off(10, true, Effect::Unsafe), []);
+}
