--- a/crates/rig/src/evening.rs
+++ b/crates/rig/src/evening.rs
@@ -25,12 +25,15 @@
 pub enum Having {
     /// A partner whose endpoints share one limit is shut, or refuses connections, as a whole.
     SharedOutage,
+    /// A sender is started beside itself, and the first process ends.
+    Takeover,
 }
 
 impl Having {
     fn holds(self, script: &Script) -> bool {
         match self {
             Self::SharedOutage => script.has_shared_outage(),
+            Self::Takeover => script.has_takeover(),
         }
     }
 }
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -1,11 +1,13 @@
 //! A sender's process: started with a configuration, killed, stopped, started again.
 
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
@@ -20,6 +22,9 @@
 /// After SIGTERM it has ended after so long, or is killed.
 const STOP: Duration = Duration::from_millis(3_700);
 
+/// Connections that may wait at a kept door.
+const BACKLOG: i32 = 128;
+
 /// A sender that cannot be had.
 #[derive(Debug, thiserror::Error)]
 pub enum ProgramError {
@@ -66,6 +71,8 @@
     addr: SocketAddr,
     cpu: Option<usize>,
     child: Option<Child>,
+    /// The clients' listening socket, if it outlasts the processes.
+    door: Option<Socket>,
     ready: watch::Sender<Option<SocketAddr>>,
     evidence: Evidence,
 }
@@ -98,6 +105,7 @@
             addr,
             cpu,
             child: None,
+            door: None,
             ready: watch::channel(None).0,
             evidence: evidence.clone(),
         })
@@ -123,6 +131,33 @@
     ///
     /// If it does not start or is not ready in time.
     pub async fn start(&mut self) -> Result<(), ProgramError> {
+        let (mut child, _) = self.spawn()?;
+        let up = async {
+            loop {
+                if child.try_wait()?.is_some() {
+                    return Ok::<bool, std::io::Error>(false);
+                }
+                if is_ready(self.addr).await {
+                    return Ok(true);
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        match timeout(START, up).await {
+            Ok(Ok(true)) => {
+                self.child = Some(child);
+                self.life(Life::Ready);
+                self.ready.send_replace(Some(self.addr));
+                Ok(())
+            }
+            Ok(Ok(false)) => Err(ProgramError::Ended { name: self.name.clone(), log: self.last_of_log() }),
+            Ok(Err(error)) => Err(error.into()),
+            Err(_) => Err(ProgramError::Late { name: self.name.clone() }),
+        }
+    }
+
+    /// One more process, and where operators reach it if it has a kept door.
+    fn spawn(&self) -> Result<(Child, Option<SocketAddr>), ProgramError> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"))?;
         let mut command = match self.cpu {
             Some(cpu) => {
@@ -132,6 +167,15 @@
             }
             None => Command::new(&self.launch.program),
         };
+        let mut control = None;
+        if let Some(door) = &self.door {
+            // Free now, and so most likely also in a moment.
+            let addr = StdListener::bind("127.0.0.1:0")?.local_addr()?;
+            command
+                .env("RELAY_ACCEPT_FD", door.as_raw_fd().to_string())
+                .env("RELAY_CONTROL", addr.to_string());
+            control = Some(addr);
+        }
         let child = command
             .args(&self.launch.arguments)
             .env("RELAY_CONFIG", self.folder.join("config.json"))
@@ -141,28 +185,52 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
-        let child = self.child.insert(child);
+        Ok((child, control))
+    }
+
+    /// Keeps the clients' listening socket for all its processes, so that one can take over from another.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be had.
+    pub fn keep_door(&mut self) -> Result<(), ProgramError> {
+        let door = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        door.set_reuse_address(true)?;
+        door.bind(&self.addr.into())?;
+        door.listen(BACKLOG)?;
+        door.set_cloexec(false)?;
+        self.door = Some(door);
+        Ok(())
+    }
+
+    /// Starts it a second time beside itself, and stops the first process once the second says that it can serve.
+    /// Whether the first ended well, and in time. It needs a kept door; without a process it does nothing.
+    ///
+    /// # Errors
+    ///
+    /// If the second does not start or is not ready in time.
+    pub async fn upgrade(&mut self) -> Result<bool, ProgramError> {
+        let Some(mut old) = self.child.take() else { return Ok(true) };
+        let (mut new, control) = self.spawn()?;
+        let Some(control) = control else { return Err(ProgramError::Late { name: self.name.clone() }) };
         let up = async {
-            loop {
-                if child.try_wait()?.is_some() {
+            while !serves(control).await {
+                if new.try_wait()?.is_some() {
                     return Ok::<bool, std::io::Error>(false);
                 }
-                if is_ready(self.addr).await {
-                    return Ok(true);
-                }
                 sleep(Duration::from_millis(5)).await;
             }
+            Ok(true)
         };
         match timeout(START, up).await {
-            Ok(Ok(true)) => {
-                self.life(Life::Ready);
-                self.ready.send_replace(Some(self.addr));
-                Ok(())
+            Ok(Ok(true)) => self.child = Some(new),
+            Ok(Ok(false)) => {
+                return Err(ProgramError::Ended { name: self.name.clone(), log: self.last_of_log() });
             }
-            Ok(Ok(false)) => Err(ProgramError::Ended { name: self.name.clone(), log: self.last_of_log() }),
-            Ok(Err(error)) => Err(error.into()),
-            Err(_) => Err(ProgramError::Late { name: self.name.clone() }),
+            Ok(Err(error)) => return Err(error.into()),
+            Err(_) => return Err(ProgramError::Late { name: self.name.clone() }),
         }
+        terminate(&mut old).await
     }
 
     fn last_of_log(&self) -> String {
@@ -230,23 +298,43 @@
     pub async fn stop(&mut self) -> Result<bool, ProgramError> {
         let Some(mut child) = self.child.take() else { return Ok(true) };
         self.life(Life::Term);
-        if let Some(pid) = child.id() {
-            Command::new("kill").args(["-TERM", &pid.to_string()]).status().await?;
-        }
-        sleep(Duration::from_millis(300)).await;
-        self.ready.send_replace(None);
-        let ended = match timeout(STOP, child.wait()).await {
-            Ok(status) => status?.success(),
-            Err(_) => {
-                child.kill().await?;
-                false
-            }
+        let ready = self.ready.clone();
+        let ended = async {
+            sleep(Duration::from_millis(300)).await;
+            ready.send_replace(None);
         };
+        let (ended, ()) = tokio::join!(terminate(&mut child), ended);
         self.life(Life::Ended);
-        Ok(ended)
+        ended
     }
 }
 
+/// Tells a process to stop and waits until it has; one that has not in time is killed. Whether it ended well.
+async fn terminate(child: &mut Child) -> Result<bool, ProgramError> {
+    if let Some(pid) = child.id() {
+        Command::new("kill").args(["-TERM", &pid.to_string()]).status().await?;
+    }
+    match timeout(STOP, child.wait()).await {
+        Ok(status) => Ok(status?.success()),
+        Err(_) => {
+            child.kill().await?;
+            Ok(false)
+        }
+    }
+}
+
+/// Whether a process says to operators that it can serve.
+async fn serves(control: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(control).await.ok()?;
+        stream.write_all(b"status\n").await.ok()?;
+        let mut word = [0; 4];
+        stream.read_exact(&mut word).await.ok()?;
+        Some(&word == b"done")
+    };
+    timeout(Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
+}
+
 async fn is_ready(addr: SocketAddr) -> bool {
     let ask = async {
         let mut stream = TcpStream::connect(addr).await.ok()?;
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -251,6 +251,13 @@
         /// It is started again so much after its end.
         back_ms: Ms,
     },
+    /// A sender is started a second time beside itself, and the first process stops once the second can serve.
+    Upgrade {
+        /// When.
+        at_ms: Ms,
+        /// Which sender, from 0.
+        sender: usize,
+    },
 }
 
 /// What befalls the agent beside a sender.
@@ -454,6 +461,7 @@
                 }
                 Happening::Kill { sender, .. }
                 | Happening::Restart { sender, .. }
+                | Happening::Upgrade { sender, .. }
                 | Happening::Agent { sender, .. }
                 | Happening::Move { sender, .. }
                 | Happening::Link { sender, .. }
@@ -469,6 +477,11 @@
         None
     }
 
+    /// Whether a sender is replaced under load.
+    pub fn has_takeover(&self) -> bool {
+        self.happenings.iter().any(|h| matches!(h, Happening::Upgrade { .. }))
+    }
+
     /// An evening of `seconds` with two senders and troubles, drawn from a seed: the same on every machine.
     pub fn evening(seed: u64, seconds: u16) -> Self {
         Draw::new(seed).evening(seed, seconds)
@@ -590,6 +603,10 @@
         };
         // Drawn last: what was drawn for a seed before these were thought of is still drawn for it.
         self.platform_and_links(&mut script, end);
+        if self.chance(0.5) {
+            let (at_ms, sender) = (self.ms(end / 6, end * 3 / 4), self.whole(0, 2) as usize);
+            script.happenings.push(Happening::Upgrade { at_ms, sender });
+        }
         script
     }
 
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -164,6 +164,10 @@
             let config = configuration(&agent, &classes, &rules, names.len(), me);
             let folder = stage.folder.join(name);
             let mut program = Program::new(name, &stage.launch, &folder, config, None, &evidence)?;
+            let upgrade = |h: &Happening| matches!(h, Happening::Upgrade { sender, .. } if *sender == me);
+            if script.happenings.iter().any(upgrade) {
+                program.keep_door()?;
+            }
             program.start().await?;
             addresses.push((name.clone(), program.address()));
             agents.push(agent);
@@ -301,6 +305,17 @@
                     }
                 });
             }
+            Happening::Upgrade { at_ms, sender } => {
+                let (program, failed) = (self.programs[sender].clone(), failed.clone());
+                tasks.spawn(async move {
+                    sleep_until(at(at_ms.get())).await;
+                    match program.lock().await.upgrade().await {
+                        Ok(true) => {}
+                        Ok(false) => note(&failed, "a sender did not leave well to its successor".to_owned()),
+                        Err(error) => note(&failed, error.to_string()),
+                    }
+                });
+            }
             Happening::Restart { at_ms, sender, back_ms } => {
                 let (program, failed) = (self.programs[sender].clone(), failed.clone());
                 let agent = self.agents[sender].clone();
