--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -68,8 +68,8 @@
 const TRIAL_SPREAD: Millis = 2_000.0;
 /// Largest part of a partner in an outage that a sender takes for its own, where an equal part is less.
 const MOST_PART: f64 = 0.25;
-/// So many calls sent later and answered by the same route, and so many times the time after which it was overdue,
-/// show that a call is lost by itself.
+/// So many calls sent later and answered by the same route, and so many times what made it overdue, show
+/// that a call is lost by itself.
 const PASSED: u32 = 10;
 const LOST_STRETCH: f64 = 1.3;
 /// Time-out of an attempt, in multiples of when it is overdue.
@@ -981,8 +981,8 @@
             if open.is_empty() {
                 return;
             }
-            // Departure (few slots are free): some are left to others, more when a call here is overdue and nothing
-            // was heard since it was sent. One that is lost by itself among answered ones tells nothing.
+            // Departure (few slots are free): some are left to others, more when a call here is overdue and
+            // nothing was heard since. One that is lost by itself among answered ones tells nothing.
             let stuck = (0..d.routes.len()).any(|r| d.unheard(r, self.now) > 0);
             let free = self.settings.slots.saturating_sub(self.calls_out + self.lent)
                 * if stuck { 1 } else { SLOTS_LEFT };
@@ -1001,8 +1001,8 @@
         }
     }
 
-    /// Departure (all slots are taken): a call that is overdue by far, though calls sent later were answered there, is
-    /// lost by itself, and its slot is worth more to others.
+    /// Departure (all slots are taken): a call that is overdue by far, though calls sent later were answered
+    /// there, is lost by itself, and its slot is worth more to others.
     fn call_off(&self, d: &mut Destination, actions: &mut Vec<Action>) {
         let long = |c: &Call, r: usize| self.now - c.sent_at > LOST_STRETCH * d.overdue_after(r);
         let lost = |c: &&Call| {
