Takeover: the inherited listener's module by its name, scripted partners in one place

Two modules were named door, one of them about descriptors; the evenings with takeovers and with troubles wrote the same partners twice, and the stand-in's two questions to a process the same exchange.

--- a/crates/daemon/src/door.rs
+++ b/crates/daemon/src/inherited.rs
@@ -48,6 +48,6 @@
 }
 
 /// The socket, if there is one.
-pub fn inherited() -> Result<Option<TcpListener>, DoorError> {
+pub fn door() -> Result<Option<TcpListener>, DoorError> {
     ListenFd::from_env().take_tcp_listener(0).map_err(DoorError::Socket)
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,7 +9,7 @@
 //! }
 //! ```
 
-mod door;
+mod inherited;
 mod log;
 
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
     #[error("{0} is not set")]
     Unset(&'static str),
     #[error(transparent)]
-    Door(#[from] door::DoorError),
+    Door(#[from] inherited::DoorError),
     #[error("RELAY_CONTROL is {0:?}, not an address and a port")]
     Control(String),
     #[error(transparent)]
@@ -47,7 +47,7 @@
 }
 
 fn start() -> Result<(), Error> {
-    door::translate()?;
+    inherited::translate()?;
     let variable = |name| std::env::var_os(name).map(PathBuf::from).ok_or(Error::Unset(name));
     let (path, state) = (variable("RELAY_CONFIG")?, variable("RELAY_STATE")?);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -62,7 +62,7 @@
     if let Some(control) = control()? {
         usable = usable.with_control(control);
     }
-    let service = Service::start(usable, state, door::inherited()?).await?;
+    let service = Service::start(usable, state, inherited::door()?).await?;
     tracing::info!("listening on {}", service.local_addr());
     spawn_local(reread(hangup, path.to_owned(), service.control()));
     spawn_local(stop(terminate, service.control()));
--- a/crates/daemon/tests/evening/mod.rs
+++ b/crates/daemon/tests/evening/mod.rs
@@ -1,4 +1,5 @@
 //! A scripted evening with real sender processes, judged.
+#![allow(dead_code, reason = "each test file uses its part")]
 
 use std::path::Path;
 use std::time::Duration;
@@ -25,3 +26,35 @@
     }
     panic!("the stand-ins were late three times: this machine is too busy to tell anything");
 }
+
+/// A large partner whose endpoints are apart and that tells its waits, and a small one that tells this share of them.
+pub fn partners(tells: f64) -> String {
+    format!(
+        r#"
+[[partners]]
+number = 1
+name = "well"
+apart = true
+per_s = 20.0
+limit = {{ kind = "rate" }}
+tells = {{ share = 1.0 }}
+work_ms = 80
+queue = 8
+connections = 32
+weight = 1.0
+endpoints = [{{ id = "p1-0", hall = "hall-a" }}, {{ id = "p1-1", hall = "hall-b" }}]
+
+[[partners]]
+number = 2
+name = "small"
+per_s = 10.0
+limit = {{ kind = "span", span_ms = 1000 }}
+tells = {{ share = {tells:.1} }}
+work_ms = 80
+queue = 8
+connections = 32
+weight = 0.5
+endpoints = [{{ id = "p2-0", hall = "hall-a" }}]
+"#
+    )
+}
--- a/crates/daemon/tests/takeover_evening.rs
+++ b/crates/daemon/tests/takeover_evening.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-const SCRIPT: &str = r#"
+const TRAFFIC: &str = r#"
 seed = 9
 seconds = 12
 senders = 2
@@ -19,32 +19,9 @@
 retries = 0.0
 leave = 0.02
 bad_per_s = 1.0
+"#;
 
-[[partners]]
-number = 1
-name = "well"
-apart = true
-per_s = 20.0
-limit = { kind = "rate" }
-tells = { share = 1.0 }
-work_ms = 80
-queue = 8
-connections = 32
-weight = 1.0
-endpoints = [{ id = "p1-0", hall = "hall-a" }, { id = "p1-1", hall = "hall-b" }]
-
-[[partners]]
-number = 2
-name = "down"
-per_s = 10.0
-limit = { kind = "span", span_ms = 1000 }
-tells = { share = 1.0 }
-work_ms = 80
-queue = 8
-connections = 32
-weight = 0.5
-endpoints = [{ id = "p2-0", hall = "hall-a" }]
-
+const HAPPENINGS: &str = r#"
 [[happenings]]
 what = "upgrade"
 at_ms = 2000
@@ -70,7 +47,8 @@
 
 #[tokio::test]
 async fn an_evening_with_takeovers_breaks_no_rule_and_loses_nothing() {
-    let (_, verdict) = evening::play(SCRIPT, Duration::from_secs(6)).await;
+    let script = format!("{TRAFFIC}{}{HAPPENINGS}", evening::partners(1.0));
+    let (_, verdict) = evening::play(&script, Duration::from_secs(6)).await;
     assert!(verdict.clean() && verdict.accounting.open == 0, "{verdict}");
     let (taken, failed_at_the_door) = (verdict.accounting.taken_on, verdict.accounting.failed_at_the_door);
     assert!(taken > 200, "{verdict}");
--- a/crates/daemon/tests/troubles.rs
+++ b/crates/daemon/tests/troubles.rs
@@ -6,7 +6,7 @@
 
 use rudderspindle_standin::evidence::{Event, Line};
 
-const SCRIPT: &str = r#"
+const TRAFFIC: &str = r#"
 seed = 8
 seconds = 12
 senders = 2
@@ -20,32 +20,9 @@
 retries = 0.0
 leave = 0.0
 bad_per_s = 1.0
+"#;
 
-[[partners]]
-number = 1
-name = "well"
-apart = true
-per_s = 20.0
-limit = { kind = "rate" }
-tells = { share = 1.0 }
-work_ms = 80
-queue = 8
-connections = 32
-weight = 1.0
-endpoints = [{ id = "p1-0", hall = "hall-a" }, { id = "p1-1", hall = "hall-b" }]
-
-[[partners]]
-number = 2
-name = "gone"
-per_s = 10.0
-limit = { kind = "span", span_ms = 1000 }
-tells = { share = 0.0 }
-work_ms = 80
-queue = 8
-connections = 32
-weight = 0.5
-endpoints = [{ id = "p2-0", hall = "hall-a" }]
-
+const HAPPENINGS: &str = r#"
 # Its messages end with notices from about 5 s on.
 [[happenings]]
 what = "outage"
@@ -104,7 +81,8 @@
 
 #[tokio::test]
 async fn agents_and_links_fail_as_scripted_and_no_rule_is_broken() {
-    let (lines, verdict) = evening::play(SCRIPT, Duration::from_secs(5)).await;
+    let script = format!("{TRAFFIC}{}{HAPPENINGS}", evening::partners(0.0));
+    let (lines, verdict) = evening::play(&script, Duration::from_secs(5)).await;
     assert!(verdict.clean() && verdict.accounting.open == 0, "{verdict}");
     assert!(verdict.accounting.failed + verdict.accounting.refused > 0, "no notices:\n{verdict}");
     // The one that is silent tells late; the other at once.
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -299,11 +299,11 @@
         let Some(mut child) = self.child.take() else { return Ok(true) };
         self.life(Life::Term);
         let ready = self.ready.clone();
-        let ended = async {
+        let clients_notice = async {
             sleep(Duration::from_millis(300)).await;
             ready.send_replace(None);
         };
-        let (ended, ()) = tokio::join!(terminate(&mut child), ended);
+        let (ended, ()) = tokio::join!(terminate(&mut child), clients_notice);
         self.life(Life::Ended);
         ended
     }
@@ -325,23 +325,23 @@
 
 /// Whether a process says to operators that it can serve.
 async fn serves(control: SocketAddr) -> bool {
-    let ask = async {
-        let mut stream = TcpStream::connect(control).await.ok()?;
-        stream.write_all(b"status\n").await.ok()?;
-        let mut word = [0; 4];
-        stream.read_exact(&mut word).await.ok()?;
-        Some(&word == b"done")
-    };
-    timeout(Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
+    answers(control, b"status\n", b"done").await
 }
 
+/// Whether it is ready for clients.
 async fn is_ready(addr: SocketAddr) -> bool {
-    let ask = async {
+    let ask = b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    answers(addr, ask, b"HTTP/1.1 200").await
+}
+
+/// Whether what is asked there is answered soon, and so.
+async fn answers<const N: usize>(addr: SocketAddr, ask: &[u8], wanted: &[u8; N]) -> bool {
+    let answer = async {
         let mut stream = TcpStream::connect(addr).await.ok()?;
-        stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").await.ok()?;
-        let mut head = [0; 12];
+        stream.write_all(ask).await.ok()?;
+        let mut head = [0; N];
         stream.read_exact(&mut head).await.ok()?;
-        Some(&head == b"HTTP/1.1 200")
+        Some(&head == wanted)
     };
-    timeout(Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
+    timeout(Duration::from_secs(1), answer).await.ok().flatten().unwrap_or(false)
 }
