Decision files split by job; what does not decide stands apart, room moves to share

Counting windows, estimates, queues, calls out, the wake-up and chance are files that say "No decision."; interface.rs is split by what it tells.

--- /dev/null
+++ b/crates/decide/src/decide/admission.rs
@@ -0,0 +1,50 @@
+//! Messages that come, and those that wait for a decision.
+
+use super::*;
+
+/// A message's last answer goes out two ticks and this much before its time is up, ms.
+const END_MARGIN: Millis = 5.0;
+/// Safety margin of the key window, ms.
+const KEY_MARGIN: Millis = 50.0;
+
+impl Sender {
+    pub(super) fn admit(&mut self, message: &Message, past: &Past) {
+        if self.messages.contains_key(&message.id) {
+            return;
+        }
+        let class = message.class.min(self.settings.classes.len() - 1);
+        let c = &self.settings.classes[class];
+        let aim = (c.aim + c.aim_stretch * message.work_guess.unwrap_or(0.0)).min(c.deadline);
+        let ends_at = self.now + message.time_left;
+        let within = self.quotas.takes(self.now, &self.settings, message.tenant);
+        let whole = if within { c.worth } else { c.worth * self.settings.over_share_worth };
+        let worth = Worth { class, whole, aim_at: ends_at - c.deadline + aim, ends_at };
+        let key = if c.ordered { message.ordering_key } else { 0 };
+        self.turns.join(key, message.id);
+        let destination = message.destination;
+        let maybe_ran = past.may_have_run.map(|ran| (self.now - ran.ago, ran.route, ran.zone));
+        let past = Held { attempts: past.attempts, maybe_ran, ..Held::default() };
+        self.messages.insert(message.id, Held { worth, destination, key, ..past });
+        self.park(message.id);
+        self.queue_up(destination);
+    }
+
+    /// The message waits for a decision; its answer is due before its time is up, or when no attempt is left.
+    pub(super) fn park(&mut self, id: MessageId) {
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        m.answer_at = m.worth.ends_at - 2.0 * self.settings.tick - END_MARGIN;
+        match (m.maybe_ran, self.settings.classes[m.worth.class].effect) {
+            (Some((at, ..)), Effect::Keyed { window, .. }) => {
+                m.answer_at = m.answer_at.min(at + window - KEY_MARGIN);
+            }
+            (Some(_), Effect::Unsafe) => m.answer_at = self.now,
+            _ => {}
+        }
+        if m.attempts >= self.settings.max_attempts {
+            m.answer_at = self.now;
+        }
+        let to = m.destination;
+        self.destinations.entry(to).or_default().waiting.push(id);
+        self.busy.insert(to);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decide/choice.rs
@@ -0,0 +1,128 @@
+//! By which route a message goes, if by any.
+
+use std::cmp::Reverse;
+
+use super::*;
+
+/// Time-out of an attempt, in multiples of when it is overdue.
+const TIMEOUT_STRETCH: f64 = 3.0;
+
+impl Sender {
+    /// No effect happens twice: whether the message's class and past allow another attempt there.
+    pub(super) fn allowed(&self, id: MessageId, route: &Route) -> bool {
+        let Some(m) = self.messages.get(&id) else { return false };
+        let Some((_, ran, zone)) = m.maybe_ran else { return true };
+        match self.settings.classes[m.worth.class].effect {
+            Effect::Safe => true,
+            Effect::Keyed { group: KeyGroup::All, .. } => true,
+            Effect::Keyed { group: KeyGroup::Zone, .. } => zone == route.zone,
+            Effect::Keyed { group: KeyGroup::Route, .. } => ran == route.id,
+            Effect::Unsafe => false,
+        }
+    }
+
+    /// The first route, in order of preference, whose own draw lets the message through.
+    pub(super) fn choose(&mut self, d: &mut Destination, id: MessageId, open: &[usize]) -> Option<usize> {
+        let unsafe_class =
+            self.settings.classes[self.messages.get(&id)?.worth.class].effect == Effect::Unsafe;
+        let mut order: Vec<usize> = open.to_vec();
+        order.retain(|&r| self.allowed(id, &d.routes[r]));
+        // Healthy, near, idle, and last used: an open connection is likely there.
+        order.sort_by_key(|&index| {
+            let (r, now) = (&d.routes[index], self.now);
+            // A failure of late sends the next call to a sister: one of hundreds rarely sees four in a row.
+            let ill = d.down(index) || (r.gate.health.failing() && now - r.used_at < REACH.short);
+            let far = r.zone != self.settings.zone;
+            // Where all are down, each is asked in turn.
+            let asked = if d.shared.health.is_down() { r.used_at as u64 } else { 0 };
+            let worse = (d.down(index), ill, r.gate.health.state != State::Up);
+            (worse, asked, far, r.out, Reverse(r.used_at as u64), r.id)
+        });
+        for index in order {
+            if d.down(index) {
+                // Departure (an outage is seen): one trial asks, with no draw, and nothing unsafe.
+                if !unsafe_class {
+                    return Some(index);
+                }
+                continue;
+            }
+            let overdue = d.overdue(index, self.now).count();
+            let shared = d.shared_pace(Scope::Route(index), self.now).is_some();
+            let gate = d.gate_mut(index);
+            if gate.draw_at > self.now {
+                continue;
+            }
+            // Departure (notes tell of all senders): their pace is what the formula lets through of all.
+            if shared || self.chance.unit() >= gate.drop_probability(self.now, overdue) {
+                return Some(index);
+            }
+            // Departure (a message draws again): it is one request, or random losses would close the gate.
+            let again = self.messages.get_mut(&id).is_some_and(|m| std::mem::replace(&mut m.dropped, true));
+            gate.window.count(self.now, if again { 0.0 } else { 1.0 }, 0.0);
+            gate.draw_at = self.now + self.chance.pause(1_000.0 / gate.pace);
+        }
+        None
+    }
+
+    pub(super) fn send(
+        &mut self,
+        d: &mut Destination,
+        bundle: Vec<MessageId>,
+        index: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.now;
+        let shared = d.shared_pace(Scope::Route(index), now);
+        let gate = d.gate_mut(index);
+        gate.room.sent(shared);
+        let limited = gate.draw_at > now - BURST;
+        gate.draw_at =
+            gate.draw_at.max(now - BURST) + self.chance.pause(1_000.0 / shared.unwrap_or(gate.pace));
+        d.waiting.retain(|id| !bundle.contains(id));
+        for scope in d.scopes(index) {
+            match d.health(scope).state {
+                State::Up => {}
+                // One trial at a time: one that is overdue no longer counts.
+                State::Down { .. } => self.rest(d, scope, d.overdue_after(index), false),
+                State::Cold { since, part } => {
+                    // It has at least this share of its capacity so long after its return.
+                    let ready = d.routes.iter().filter(|r| r.listing == Listing::Ready).count();
+                    let sisters = if d.apart || scope == Scope::All { 1 } else { ready.max(1) };
+                    let rate = part * d.gate(index).told / sisters as f64 * self.settings.ramp(now - since);
+                    let ramp_at = now + self.chance.pause(1_000.0 / rate);
+                    let health = d.health_mut(scope);
+                    health.ramp_at = ramp_at;
+                    if self.settings.warm(now - since) >= 1.0 {
+                        health.state = State::Up;
+                    }
+                }
+            }
+        }
+        let route = &mut d.routes[index];
+        (route.out, route.used_at) = (route.out + 1, now);
+        let (id, route, left) = (self.next_call, route.id, bundle.len());
+        (self.next_call, self.calls_out) = (id + 1, self.calls_out + 1);
+        d.calls.begin(Call { id, route, sent_at: now, left, known: false, passed: 0, limited });
+        for message in bundle {
+            let timeout = self.timeout(d, message, index);
+            let Some(m) = self.messages.get_mut(&message) else { continue };
+            m.out = Some((m.attempts, id));
+            m.attempts += 1;
+            m.dropped = false;
+            actions.push(Action::Send { id: message, route, timeout, within: m.answer_at - now });
+        }
+    }
+
+    /// An unsafe message gains nothing by an early time-out; others move on in time for another try.
+    fn timeout(&self, d: &Destination, id: MessageId, index: usize) -> Millis {
+        let Some(m) = self.messages.get(&id) else { return 0.0 };
+        let left = m.worth.ends_at - self.now;
+        let patient = d.overdue_after(index) * TIMEOUT_STRETCH;
+        let timeout = match self.settings.classes[m.worth.class].effect {
+            Effect::Unsafe => left,
+            Effect::Safe => patient,
+            Effect::Keyed { window, .. } => patient.min(window / 2.0),
+        };
+        timeout.min(left)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/decide/wants.rs
@@ -0,0 +1,76 @@
+//! What is wanted of each limit, what the fleet's notes leave of it, and figures for the host.
+
+use super::*;
+
+/// What comes within this time is wanted, too, ms: until the next notes it has to do with what these leave.
+const UNTOLD: Millis = 500.0;
+
+impl Destination {
+    /// Calls wanted of a limit now, what waits and what will come dealt out by the limits; and the limit.
+    pub(super) fn need(&self, scope: Scope, now: Millis) -> (f64, f64) {
+        let ready = self.routes.iter().filter(|r| r.listing == Listing::Ready);
+        let limit = self.gate_of(scope).told;
+        let all = if self.apart { ready.map(|r| r.gate.told).sum() } else { limit };
+        ((self.waiting.len() as f64 + self.flow.expected(now, UNTOLD)) * limit / f64::max(all, limit), limit)
+    }
+
+    /// The pace that the fleet's notes leave to this sender, while they are fresh.
+    pub(super) fn shared_pace(&self, scope: Scope, now: Millis) -> Option<f64> {
+        let (wanted, limit) = self.need(scope, now);
+        self.gate_of(scope).room.pace(now, wanted, limit)
+    }
+}
+
+impl Sender {
+    /// Its host will tell it what other senders want.
+    pub fn hear_notes(&mut self) {
+        self.hears_notes = true;
+    }
+
+    /// What is wanted of each limit, and what was done to it so far.
+    pub fn wants(&self) -> Vec<Want> {
+        let of = |(&destination, d): (&DestinationId, &Destination)| {
+            let listed = |scope: &Scope| match scope {
+                Scope::Route(index) => d.routes[*index].listing == Listing::Ready,
+                Scope::All => true,
+            };
+            let wants = d.gates().filter(listed).map(|scope| {
+                let ((wanted, limit), room) = (d.need(scope, self.now), &d.gate_of(scope).room);
+                let Room { called, refused, failed, .. } = *room;
+                Want { destination, route: d.name(scope), limit, wanted, called, refused, failed }
+            });
+            wants.collect::<Vec<_>>()
+        };
+        self.destinations.iter().flat_map(of).collect()
+    }
+
+    /// A message has come: the first one at a destination takes its turn among all senders'.
+    pub(super) fn queue_up(&mut self, to: DestinationId) {
+        let Some(mut d) = self.destinations.get_mut(&to).map(std::mem::take) else { return };
+        d.flow.came(self.now);
+        let first = d.waiting.len() == 1;
+        for scope in d.gates().filter(|_| first) {
+            let Some(pace) = d.shared_pace(scope, self.now) else { continue };
+            let (draw, gate) = (self.chance.unit(), d.gate_of_mut(scope));
+            gate.draw_at = gate.room.first_turn(self.now, pace, draw).unwrap_or(gate.draw_at);
+        }
+        self.destinations.insert(to, d);
+    }
+}
+
+impl Sender {
+    /// Routes, destinations, messages and keys that are remembered.
+    pub fn remembered(&self) -> usize {
+        let routes = self.destinations.values().map(|d| 1 + d.routes.len()).sum::<usize>();
+        routes + self.messages.len() + self.turns.len()
+    }
+
+    /// Routes on the list that take no ordinary calls of ours now: they drain, are down, or told to wait.
+    pub fn avoided(&self) -> usize {
+        let avoided = |d: &Destination, r: usize| match d.routes[r].listing {
+            Listing::Ready => d.down(r) || d.gate(r).wait_until > self.now,
+            listing => listing == Listing::Draining,
+        };
+        self.destinations.values().map(|d| (0..d.routes.len()).filter(|&r| avoided(d, r)).count()).sum()
+    }
+}
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -39,13 +39,6 @@
     },
 }
 
-/// Whose health: a route's own, or that of all routes of a shared gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Scope {
-    Route(usize),
-    All,
-}
-
 /// Failures and errors as they were seen, and what is believed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Health {
--- /dev/null
+++ b/crates/decide/src/interface/event.rs
@@ -0,0 +1,118 @@
+//! What a sender is told.
+
+use super::{DestinationId, ListChange, Message, MessageId, Millis, Past, RouteId};
+
+/// What is believed of a destination whose routes share a limit, or of a route that is apart, that a sender must
+/// still know if it begins anew: or it would send at full pace to what is down or cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Trouble {
+    /// Nothing is the matter with it.
+    None,
+    /// It is in an outage; a wait that was told lasts for so long from now, 0 if none.
+    Down {
+        /// What is left of the wait.
+        wait: Millis,
+    },
+    /// It came back from one.
+    Cold {
+        /// So long ago; not above 0 if a wait must be over first.
+        ago: Millis,
+        /// The part of the ramp that is this sender's, from 0 to 1.
+        part: f64,
+    },
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Ok,
+    /// The destination answered with an error; it may have taken effect.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have taken effect or may still.
+    Timeout,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have taken effect.
+    Reset,
+    /// Called off; it may have taken effect.
+    Cancelled,
+    /// Never sent.
+    Moot,
+    /// Never sent: the message has had all its attempts. Its end is still owed.
+    Spent,
+}
+
+/// What a sender is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// News of the list of routes.
+    List(ListChange),
+    /// A message is handed in.
+    Message(Message),
+    /// A message taken on before a restart is still owed its end.
+    Recovered(Message, Past),
+    /// What was to be remembered over a restart, as it is now. Comes after the list.
+    Remembered {
+        /// The destination.
+        destination: DestinationId,
+        /// The route, where routes are apart.
+        route: Option<RouteId>,
+        /// What was believed of it.
+        trouble: Trouble,
+    },
+    /// Another process of this sender was told to wait: a destination, or one route where routes are apart.
+    Waits {
+        /// The destination.
+        destination: DestinationId,
+        /// The route, where routes are apart.
+        route: Option<RouteId>,
+        /// How long from now.
+        wait: Millis,
+    },
+    /// How much of a limit there is for this sender, as all senders' wants have it: a destination's, or that of one
+    /// route where routes are apart.
+    Room {
+        /// The destination.
+        destination: DestinationId,
+        /// The route, where routes are apart.
+        route: Option<RouteId>,
+        /// Calls a second for each call that is wanted; infinite where there is enough for all.
+        calls: f64,
+        /// How long this may be relied on.
+        lasts: Millis,
+    },
+    /// A streamed answer has begun; the attempt belongs to the client from here.
+    Started {
+        /// The message.
+        id: MessageId,
+        /// Which attempt, counted from 0.
+        attempt: u32,
+    },
+    /// An attempt is over.
+    Outcome {
+        /// The message.
+        id: MessageId,
+        /// Which attempt, counted from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// For [`Outcome::Full`]: the wait that was told; 0 for none.
+        retry_after: Millis,
+        /// Whether the message is over.
+        closed: bool,
+    },
+    /// Nobody wants the message any more. Attempts out are still reported.
+    Dropped(MessageId),
+    /// A wake-up asked for with [`Action::Wake`].
+    Wake(u64),
+    /// The result of a probe.
+    Probed {
+        /// The route.
+        route: RouteId,
+        /// What came of it.
+        outcome: Outcome,
+    },
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -82,9 +82,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod alarm;
+mod calls;
+mod chance;
 mod decide;
 mod health;
 pub mod interface;
+mod latency;
+mod quota;
 pub mod settings;
+mod turns;
+mod window;
+mod worth;
 
 pub use decide::Sender;
--- a/crates/share/src/note.rs
+++ b/crates/share/src/note.rs
@@ -11,6 +11,7 @@
 //!
 //! All little endian. Figures are coded: up to 16 as they are, above that in steps of a twenty-fourth.
 
+use crate::gate::Gate;
 use crate::sums::Sum;
 
 /// Bytes of a note at most, as the platform has it.
@@ -25,21 +26,6 @@
 const REPORT: u8 = 0x61;
 const SUMS: u8 = 0x62;
 
-/// A gate's name, the same at every sender: a partner's limit, or that of one receiver where routes are apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Gate(u32);
-
-impl Gate {
-    /// Of a destination, or of one of its receivers where each has a limit of its own. Two gates of a thousand share
-    /// a name by chance once in 30 fleets; their figures are added up then, and both get less than there is.
-    pub fn of(destination: u16, receiver: Option<&str>) -> Self {
-        let mut hash = crc32fast::Hasher::new();
-        hash.update(&destination.to_le_bytes());
-        hash.update(receiver.unwrap_or_default().as_bytes());
-        Self(hash.finalize() & 0x00ff_ffff)
-    }
-}
-
 /// Why a datagram is no note, or none that counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
@@ -86,11 +72,9 @@
     if code <= PLAIN { code } else { PLAIN * STEP.powf(code - PLAIN) }
 }
 
-/// A figure as the other end will read it.
-pub(crate) fn rounded(sum: &Sum) -> Sum {
-    let round = |f| figure(code(f));
-    let Sum { wanted, called, refused, failed } = *sum;
-    Sum { wanted: round(wanted), called: round(called), refused: round(refused), failed: round(failed) }
+/// Whether there is nothing to tell of it, as the other end will read it.
+pub(crate) fn is_nothing(sum: &Sum) -> bool {
+    [sum.wanted, sum.called, sum.refused, sum.failed].iter().all(|&figure| code(figure) == 0)
 }
 
 impl Note {
--- a/crates/decide/src/decide/room.rs
+++ b/crates/share/src/room.rs
@@ -1,14 +1,11 @@
 //! What the fleet's notes leave of one limit to this sender, and what it does to that limit. The decision module
 //! asks for a pace and tells what it sends; without fresh notes there is none, and its own pace counts.
 
-use super::{Destination, Sender};
-use crate::health::Scope;
-use crate::interface::{DestinationId, Listing, Millis, Want};
+/// A span or a point of time in milliseconds.
+type Millis = f64;
 
 /// Time over which the coming of messages is reckoned, ms.
 const FLOW: Millis = 1_000.0;
-/// What comes within this time is wanted, too, ms: until the next notes it has to do with what these leave.
-const UNTOLD: Millis = 500.0;
 /// Least pace that a sender takes of a limit, calls a second: one call in the life of most messages.
 const LEAST_PACE: f64 = 0.05;
 /// Until notes can have told of a gate that is new here, ms, it is reckoned that each other sender wants one call.
@@ -18,7 +15,7 @@
 
 /// Messages that come.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Flow {
+pub struct Flow {
     messages: f64,
     at: Millis,
 }
@@ -37,7 +34,7 @@
 
 /// Of one limit.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Room {
+pub struct Room {
     /// Calls a second for each call that is wanted, and until when that may be relied on.
     calls: f64,
     until: Millis,
@@ -110,59 +107,6 @@
     }
 }
 
-impl Destination {
-    /// Calls wanted of a limit now, what waits and what will come dealt out by the limits; and the limit.
-    pub(super) fn need(&self, scope: Scope, now: Millis) -> (f64, f64) {
-        let ready = self.routes.iter().filter(|r| r.listing == Listing::Ready);
-        let limit = self.gate_of(scope).told;
-        let all = if self.apart { ready.map(|r| r.gate.told).sum() } else { limit };
-        ((self.waiting.len() as f64 + self.flow.expected(now, UNTOLD)) * limit / f64::max(all, limit), limit)
-    }
-
-    /// The pace that the fleet's notes leave to this sender, while they are fresh.
-    pub(super) fn shared_pace(&self, scope: Scope, now: Millis) -> Option<f64> {
-        let (wanted, limit) = self.need(scope, now);
-        self.gate_of(scope).room.pace(now, wanted, limit)
-    }
-}
-
-impl Sender {
-    /// Its host will tell it what other senders want.
-    pub fn hear_notes(&mut self) {
-        self.hears_notes = true;
-    }
-
-    /// What is wanted of each limit, and what was done to it so far.
-    pub fn wants(&self) -> Vec<Want> {
-        let of = |(&destination, d): (&DestinationId, &Destination)| {
-            let listed = |scope: &Scope| match scope {
-                Scope::Route(index) => d.routes[*index].listing == Listing::Ready,
-                Scope::All => true,
-            };
-            let wants = d.gates().filter(listed).map(|scope| {
-                let ((wanted, limit), room) = (d.need(scope, self.now), &d.gate_of(scope).room);
-                let Room { called, refused, failed, .. } = *room;
-                Want { destination, route: d.name(scope), limit, wanted, called, refused, failed }
-            });
-            wants.collect::<Vec<_>>()
-        };
-        self.destinations.iter().flat_map(of).collect()
-    }
-
-    /// A message has come: the first one at a destination takes its turn among all senders'.
-    pub(super) fn queue_up(&mut self, to: DestinationId) {
-        let Some(mut d) = self.destinations.get_mut(&to).map(std::mem::take) else { return };
-        d.flow.came(self.now);
-        let first = d.waiting.len() == 1;
-        for scope in d.gates().filter(|_| first) {
-            let Some(pace) = d.shared_pace(scope, self.now) else { continue };
-            let (draw, gate) = (self.random(), d.gate_of_mut(scope));
-            gate.draw_at = gate.room.first_turn(self.now, pace, draw).unwrap_or(gate.draw_at);
-        }
-        self.destinations.insert(to, d);
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/share/src/sums.rs
+++ b/crates/share/src/sums.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::note::{Gate, rounded};
+use crate::gate::Gate;
 
 /// K of the drop formula: the design's default, as in the decision module.
 const K: f64 = 1.5;
@@ -50,11 +50,6 @@
         let Self { wanted, called, refused, failed } = *self;
         Self { wanted: wanted * n, called: called * n, refused: refused * n, failed: failed * n }
     }
-
-    /// Whether there is nothing to tell.
-    pub(crate) fn is_nothing(&self) -> bool {
-        rounded(self) == Self::default()
-    }
 }
 
 /// The reports of one round, added up as they come.
