--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -106,7 +106,11 @@
     };
     let script = script.map_err(DemoError::Script)?;
     let folder = tempfile::tempdir()?;
-    let launch = Launch { program: std::env::current_exe()?, arguments: vec![SENDER.to_owned()] };
+    let launch = Launch {
+        program: std::env::current_exe()?,
+        arguments: vec![SENDER.to_owned()],
+        variables: Vec::new(),
+    };
     let stage = Stage { launch, folder: folder.path().to_owned(), longest: LONGEST };
     println!(
         "{} senders, {} partners, {:.0} messages a second for {} s",
--- a/crates/standin/src/program.rs
+++ b/crates/standin/src/program.rs
@@ -54,11 +54,13 @@
     pub program: PathBuf,
     /// What it takes to be a sender.
     pub arguments: Vec<String>,
+    /// Variables that it gets besides those of every sender.
+    pub variables: Vec<(String, String)>,
 }
 
 impl From<&Path> for Launch {
     fn from(program: &Path) -> Self {
-        Self { program: program.to_owned(), arguments: Vec::new() }
+        Self { program: program.to_owned(), arguments: Vec::new(), variables: Vec::new() }
     }
 }
 
@@ -178,6 +180,7 @@
         }
         let child = command
             .args(&self.launch.arguments)
+            .envs(self.launch.variables.clone())
             .env("RELAY_CONFIG", self.folder.join("config.json"))
             .env("RELAY_STATE", self.folder.join("state"))
             .stdin(Stdio::null())
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -136,7 +136,7 @@
 
 /// A link between a sender and an endpoint of a partner.
 #[derive(Debug)]
-struct LinkBetween {
+pub(crate) struct LinkBetween {
     sender: usize,
     partner: u16,
     endpoint: String,
@@ -374,7 +374,8 @@
     }
 }
 
-fn name(sender: usize) -> String {
+/// A sender's, by its number.
+pub(crate) fn name(sender: usize) -> String {
     format!("n{sender}")
 }
 
@@ -399,7 +400,12 @@
 }
 
 /// What a sender's list holds when nothing has happened yet.
-fn entries(partners: &[Arc<Partner>], links: &[Arc<LinkBetween>], me: usize, sender: &str) -> Vec<Entry> {
+pub(crate) fn entries(
+    partners: &[Arc<Partner>],
+    links: &[Arc<LinkBetween>],
+    me: usize,
+    sender: &str,
+) -> Vec<Entry> {
     let mut entries = Vec::new();
     for partner in partners {
         let plan = partner.plan();
