Hottest streams: a sender whose answers were lost by chance keeps asking the first adder

Found by the experiment: one sender of 300 that chance left without answers for a pane asked another adder alone for a window, and read what few senders had told.

--- a/crates/hot/src/hottest.rs
+++ b/crates/hot/src/hottest.rs
@@ -112,12 +112,10 @@
         if let Some((answer, answers)) = self.adder.answers(now, pane, round) {
             letters.extend(answers);
             // It was made here, and says no more than there are senders.
-            let _ = self.heed(answer);
+            let _ = self.heed(&answer);
         }
         if self.teller.is_due(now) {
-            let heard = self.view.as_ref().map(View::answer).filter(|answer| answer.pane == pane);
-            let heard = heard.map(|answer| u64::from(answer.round));
-            let (own, notes) = self.teller.tell(pane, round, heard, &self.panes);
+            let (own, notes) = self.teller.tell(pane, round, &self.panes);
             self.adder.take_in_own(self.me, own, pane);
             letters.extend(notes.into_iter().map(|(to, digest)| (to, Note::Digest(digest).encode())));
         }
@@ -144,18 +142,17 @@
                 if !adders(answer.pane, self.senders).contains(&from) {
                     return Err(HotError::Stranger);
                 }
-                let (yours, of) = (answer.yours, answer.pane);
-                self.heed(answer)?;
-                self.teller.hear(from, yours, of, &self.panes);
+                self.heed(&answer)?;
+                self.teller.hear(from, &answer, pane, &self.panes);
                 Ok(())
             }
         }
     }
 
     /// Heeds an answer if it is better than the one before.
-    fn heed(&mut self, answer: Answer) -> Result<(), HotError> {
+    fn heed(&mut self, answer: &Answer) -> Result<(), HotError> {
         let worth = answer.worth();
-        let view = View::read(answer, self.senders, &self.settings).ok_or(HotError::Malformed)?;
+        let view = View::read(answer.clone(), self.senders, &self.settings).ok_or(HotError::Malformed)?;
         if let Some(before) = &self.view {
             // Where the clock went far ahead and back again no view would be better for long.
             if before.answer().worth() >= worth && before.panes().end <= self.open + 1 {
@@ -180,8 +177,7 @@
         let pane = now / self.settings.pane_ms();
         self.panes.turn(now);
         if self.open != pane {
-            let heard = self.view.as_ref().is_some_and(|view| view.panes().end >= self.open);
-            self.teller.turn(self.open, pane, heard);
+            self.teller.turn(self.open, pane);
             self.adder.turn(pane, self.adds_up(pane));
             self.open = pane;
         }
--- a/crates/hot/src/teller.rs
+++ b/crates/hot/src/teller.rs
@@ -4,15 +4,15 @@
 //! number and total; so what is lost costs a round, and what the adder forgot is told again.
 //!
 //! In a pane it goes on until it has heard the last answer that all are given ([`CLOSES`]). An adder that has answered nothing
-//! for a second is joined by the next that was drawn, and not asked first in the window after that.
+//! for a second is joined by the next that was drawn, in the window after that from the first round on; it is told
+//! itself in the first rounds only then, as chance may have kept its answers back.
 //!
-//! Memory: a number for each pane of the window and adder asked, and three for those that are silent.
+//! Memory: a number for each pane of the window and adder asked, and for those that are silent.
 
 use std::collections::BTreeMap;
 
-use crate::answer::Yours;
 use crate::rounds::{CLOSES, ROUND_MS, TELLING_FROM_MS, TELLING_MS, adders};
-use crate::{Digest, PANES, Panes};
+use crate::{Answer, Digest, PANES, Panes};
 
 /// Digests to one adder in one round, at most: a new one is told a whole window.
 const MOST_TOLD: usize = 2;
@@ -27,18 +27,18 @@
     incarnation: u64,
     /// The round that was told last.
     told: Option<u64>,
-    /// Whether anybody was asked in the pane that is open.
-    asked: bool,
+    /// Who was asked in the pane that is open, and the round of its last answer.
+    asked: BTreeMap<usize, Option<u64>>,
     /// Panes that an adder has said to hold, and with which total.
     held: BTreeMap<(usize, u64), u64>,
-    /// Adders that did not answer in a whole pane, and before which pane they are not asked first.
+    /// Adders that did not answer in a whole pane, and before which pane another is asked as well.
     silent: BTreeMap<usize, u64>,
 }
 
 impl Teller {
     pub(crate) fn new(me: usize, senders: usize, incarnation: u64) -> Self {
         let (held, silent) = (BTreeMap::new(), BTreeMap::new());
-        Self { me, senders, incarnation, told: None, asked: false, held, silent }
+        Self { me, senders, incarnation, told: None, asked: BTreeMap::new(), held, silent }
     }
 
     /// When this round is to be told, if it has not been and is not past.
@@ -59,25 +59,25 @@
     }
 
     /// Whom to tell in this round of a pane.
-    fn asked(&self, pane: u64, round: u64, heard: bool) -> Vec<usize> {
+    fn to_ask(&self, pane: u64, round: u64) -> Vec<usize> {
         let drawn = adders(pane, self.senders);
-        let first = drawn.iter().position(|n| !self.silent.contains_key(n)).unwrap_or(0);
-        let count = if round < PATIENCE || heard { 1 } else { 2 };
-        drawn.into_iter().skip(first).take(count).collect()
+        let silent = |n: &usize| self.silent.contains_key(n);
+        let first = drawn.iter().position(|n| !silent(n)).unwrap_or(0);
+        let answered = |n: &usize| self.asked.get(n).is_some_and(Option::is_some);
+        let more = usize::from(round >= PATIENCE && !drawn.get(first).is_some_and(answered));
+        let heeded = |(at, n): &(usize, usize)| *at >= first || !silent(n) || round < CLOSES[0];
+        drawn.into_iter().enumerate().take(first + 1 + more).filter(heeded).map(|(_, n)| n).collect()
     }
 
-    /// What to tell whom in this round of a pane, and what this sender adds up itself. `heard` is the round of the
-    /// answer that was heard in this pane.
+    /// What to tell whom in this round of a pane, and what this sender adds up itself.
     pub(crate) fn tell(
         &mut self,
         pane: u64,
         round: u64,
-        heard: Option<u64>,
         panes: &Panes,
     ) -> (Vec<Digest>, Vec<(usize, Digest)>) {
-        let served = heard.is_some_and(|heard| round <= CLOSES[1] || heard >= CLOSES[1]);
         let (mut own, mut letters) = (Vec::new(), Vec::new());
-        for to in self.asked(pane, round, heard.is_some()) {
+        for to in self.to_ask(pane, round) {
             let window = (pane.saturating_sub(PANES)..pane).rev();
             let digests = window.filter_map(|at| panes.digest(self.incarnation, at));
             if to == self.me {
@@ -86,18 +86,25 @@
             }
             let is_held = |digest: &Digest| self.held.get(&(to, digest.pane)) == Some(&digest.total);
             let (held, due): (Vec<_>, Vec<_>) = digests.partition(is_held);
-            // Nothing new, but an answer is wanted.
+            // Nothing new, but an answer is wanted. That of another adder may be of few.
+            let answered = *self.asked.entry(to).or_default();
+            let served = answered.is_some_and(|of| round < CLOSES[1] || of >= CLOSES[1]);
             let again = usize::from(due.is_empty() && !served);
             let told = due.into_iter().take(MOST_TOLD).chain(held.into_iter().take(again));
             letters.extend(told.map(|digest| (to, digest)));
-            self.asked = true;
         }
         (own, letters)
     }
 
-    /// Takes in what an adder holds of this sender before the pane `of`.
-    pub(crate) fn hear(&mut self, from: usize, yours: Yours, of: u64, panes: &Panes) {
+    /// Takes in what an adder has answered while this pane is open.
+    pub(crate) fn hear(&mut self, from: usize, answer: &Answer, pane: u64, panes: &Panes) {
         self.silent.remove(&from);
+        let (yours, of) = (answer.yours, answer.pane);
+        if of == pane
+            && let Some(answered) = self.asked.get_mut(&from)
+        {
+            *answered = (*answered).max(Some(u64::from(answer.round)));
+        }
         let window = of.saturating_sub(PANES)..of;
         let is_held = |pane: &u64| yours.held & (1 << (of - 1 - pane)) != 0;
         let total: u64 = window.clone().filter(is_held).map(|pane| panes.total(pane)).sum();
@@ -111,13 +118,11 @@
         }
     }
 
-    /// The pane after `before` is `pane`; `heard` says whether any answer came in that one.
-    pub(crate) fn turn(&mut self, before: u64, pane: u64, heard: bool) {
-        if self.asked && !heard && before + 1 == pane {
-            let first = self.asked(before, 0, false).first().copied().filter(|n| *n != self.me);
-            self.silent.extend(first.map(|n| (n, pane + PANES)));
-        }
-        self.asked = false;
+    /// The pane after `before` is `pane`.
+    pub(crate) fn turn(&mut self, before: u64, pane: u64) {
+        let asked = std::mem::take(&mut self.asked);
+        let silent = asked.into_iter().filter(|(_, answered)| answered.is_none() && before + 1 == pane);
+        self.silent.extend(silent.map(|(n, _)| (n, pane + PANES)));
         self.silent.retain(|_, until| *until > pane && *until <= pane + PANES);
         self.held.retain(|(_, at), _| *at + PANES >= pane && *at <= pane);
     }
--- a/crates/hot/tests/zipf.rs
+++ b/crates/hot/tests/zipf.rs
@@ -43,7 +43,9 @@
             assert!(found >= SENDERS * 95 / 100, "stream {stream} found by {found}");
         }
         world.run(2_000, |world| hand_in(world, &zipf, 0.0));
-        assert!((1..=3).all(|stream| world.found(Key::new(stream)) == SENDERS), "one pane later by all");
+        let found = [1, 2, 3].map(|stream| world.found(Key::new(stream)));
+        println!("seed {seed}: the three found by {found:?} a pane later");
+        assert_eq!(found, [SENDERS; 3], "one pane later by all");
         let (notes, bytes) = (world.notes, world.bytes);
         let seconds = 12;
         for _ in 0..seconds {
