--- a/crates/hot/src/hottest.rs
+++ b/crates/hot/src/hottest.rs
@@ -22,7 +22,7 @@
 ///     hottest.hand_in(now, names.stream("narmada", "gate-1"), None);
 /// }
 /// // The pane of 2 s has closed, and what is told and heard of it is this sender's own.
-/// assert!(hottest.notes_due(1_002_200).is_empty() && hottest.notes_due(1_002_400).is_empty());
+/// assert!(hottest.notes_due(1_002_100).is_empty() && hottest.notes_due(1_002_600).is_empty());
 /// assert!(hottest.is_hot(names.stream("narmada", "gate-1")));
 /// ```
 #[derive(Clone, Debug)]
--- a/crates/hot/src/lib.rs
+++ b/crates/hot/src/lib.rs
@@ -32,13 +32,13 @@
 mod wire;
 
 pub use again::{Repeated, repeated};
-pub use answer::{Answer, Sum};
+pub use answer::{Answer, Heaviest, Sum, Yours};
 pub use digest::{Digest, Listed};
 pub use error::HotError;
 pub use fair::{beyond, max_min};
 pub use hot::Judge;
 pub use hottest::{Hottest, Letter};
-pub use merged::{Merged, Sums};
+pub use merged::{Merged, Sums, Table};
 pub use panes::{Pane, Panes};
 pub use rounds::{ROUND_MS, adders};
 pub use settings::{PANES, Settings, SettingsError};
--- a/crates/hot/src/rounds.rs
+++ b/crates/hot/src/rounds.rs
@@ -12,9 +12,9 @@
 /// Each sender tells at a moment of its own in so much of a round, ms: the rest is for the way.
 pub(crate) const TELLING_MS: u64 = 70;
 /// In these rounds of a pane all that have told in it are answered, later only who tells again: by then each has told
-/// twice, and three times if it has not heard that it was held. Where one note of five is lost, 4 and less than 1 digest
-/// of a hundred are missing, and 4 senders of a hundred hear neither answer.
-pub(crate) const CLOSES: [u64; 2] = [2, 3];
+/// three times. Where one note of five is lost, less than 1 digest of a hundred is missing, and 4 senders of a hundred
+/// hear neither answer.
+pub(crate) const CLOSES: [u64; 2] = [3, 4];
 /// Whoever adds up does so for so many panes: a minute at a window of 10 s. Its successor has to be told a whole window
 /// again, and nothing is sharp for a second; a longer term costs more where the one drawn is gone for some.
 const TERM: u64 = 6 * PANES;
--- a/crates/hot/src/settings.rs
+++ b/crates/hot/src/settings.rs
@@ -8,7 +8,7 @@
 /// Windows come in steps of this, ms, so that a pane is a whole number of rounds.
 const STEP_MS: u64 = PANES * ROUND_MS;
 /// In a shorter window panes have too few rounds to tell, answer and tell again, ms.
-const SHORTEST_MS: u64 = 4 * STEP_MS;
+const SHORTEST_MS: u64 = 6 * STEP_MS;
 /// A longer one finds a storm when it is over, ms.
 const LONGEST_MS: u64 = 600 * STEP_MS;
 /// With fewer entries a part of a tenth cannot be told apart from what the sketch leaves open.
@@ -23,7 +23,7 @@
 /// What the operator sets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Length of the window, ms: a multiple of 1,000 from 4,000 to 600,000.
+    /// Length of the window, ms: a multiple of 1,000 from 6,000 to 600,000.
     pub window_ms: u64,
     /// Entries of a sketch: 16 to 1,024.
     pub entries: usize,
@@ -104,7 +104,7 @@
         let wrong = [
             (
                 Settings { window_ms: 10_001, ..good },
-                "window_ms = 10001: a multiple of 1000 from 4000 to 600000",
+                "window_ms = 10001: a multiple of 1000 from 6000 to 600000",
             ),
             (Settings { window_ms: 0, ..good }, "window_ms = 0: a multiple of 1000"),
             (Settings { entries: 15, ..good }, "entries = 15: a number from 16 to 1024"),
--- a/crates/hot/src/streams.rs
+++ b/crates/hot/src/streams.rs
@@ -17,7 +17,7 @@
 impl Key {
     /// The key with these lowest 48 bits.
     #[must_use]
-    pub fn new(bits: u64) -> Self {
+    pub const fn new(bits: u64) -> Self {
         let [a, b, c, d, e, f, ..] = bits.to_le_bytes();
         Self([a, b, c, d, e, f])
     }
