--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -130,10 +130,11 @@
         lost in 0..40u64,
         seed: u64,
         announce_ms in 0..2_000u64,
-        events in prop::collection::vec(event(), 30..90),
+        events in prop::collection::vec(event(), 30..120),
     ) {
         let mut world = World::in_force(senders, &of(1));
         world.announce_ms = announce_ms;
+        world.times = &[0, 100, 400];
         for i in 0..usize::from(senders) {
             world.kill(i, false);
             world.restart(i, &of(1));
@@ -150,7 +151,7 @@
             prop_assert!(world.nobody_acts_outside(allowed), "at {}", world.now);
         }
         happen(&mut world, &mut links, Event::GoOn, &mut without);
-        for _ in 0..60 {
+        for _ in 0..90 {
             for (from, letter) in world.tick() {
                 world.deliver(from, &letter);
             }
--- a/crates/placement/tests/lease.rs
+++ b/crates/placement/tests/lease.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
-use rudderspindle_placement::{Change, Closed, HallMask, Open, Placement, Refused, ReloadError, StartError};
+use rudderspindle_placement::{
+    Change, Closed, HallMask, Letter, NoteError, Open, Placement, Record, Refused, ReloadError, StartError,
+};
 use world::{LEASE_MS, START, World, key, rules, settings, tenant};
 
 const A: HallMask = HallMask(1);
@@ -50,21 +52,65 @@
 
 #[test]
 fn a_new_fleet_acts_once_all_have_been_up_and_nobody_acts_at_a_start() {
-    let mut world = World::in_force(3, &rules(1, &["hall-a"]));
-    for i in 0..3 {
-        world.kill(i, true);
-    }
-    for i in [0, 1] {
-        world.restart(i, &rules(1, &["hall-a"]));
-    }
+    let file = rules(1, &["hall-a"]);
+    let mut world = World::in_force(5, &file);
+    (0..5).for_each(|i| world.kill(i, true));
+    (0..4).for_each(|i| world.restart(i, &file));
     run(&mut world, 3 * LEASE_MS, |_, _| true);
-    assert_eq!(acting(&world), [], "two of three could be old ones whose folders are lost");
-    world.restart(2, &rules(1, &["hall-a"]));
+    assert_eq!(acting(&world), [], "four of five could be old ones whose folders are lost");
+    world.restart(4, &file);
     run(&mut world, 2 * LEASE_MS, |_, _| true);
-    assert_eq!(acting(&world), [0, 1, 2]);
+    assert_eq!(acting(&world), [0, 1, 2, 3, 4]);
     world.kill(0, false);
+    world.restart(0, &file);
+    assert_eq!(acting(&world), [1, 2, 3, 4]);
+}
+
+#[test]
+fn a_sender_without_its_folder_counts_again_only_by_rounds_that_began_after_its_start() {
+    let mut world = World::in_force(3, &rules(1, &["hall-a"]));
+    let counts = |world: &World| {
+        let snapshot = world.nodes[0].process.as_ref().unwrap().snapshot();
+        Record::restore(&snapshot.bytes, &key()).unwrap().counts()
+    };
+    world.now += 100;
+    for (from, letter) in world.tick() {
+        world.deliver(from, &letter);
+    }
+    world.now += 1;
+    world.kill(0, true);
     world.restart(0, &rules(1, &["hall-a"]));
-    assert_eq!(acting(&world), [1, 2]);
+    world.advance();
+    let words = world.tick();
+    assert!(words.iter().any(|(_, word)| word.to == 0));
+    words.iter().for_each(|(from, word)| world.deliver(*from, word));
+    assert!(!counts(&world));
+    world.advance();
+    run(&mut world, 500, |_, _| true);
+    assert!(counts(&world));
+}
+
+#[test]
+fn of_two_incarnations_of_one_sender_the_younger_counts_whichever_comes_last() {
+    let mut world = World::in_force(4, &rules(1, &["hall-a"]));
+    let adder_of = |letters: &[(usize, Letter)]| letters.iter().find(|(_, l)| l.body[0] == 0).unwrap().1.to;
+    let old = world.tick();
+    let adder = usize::from(adder_of(&old));
+    // Of the others one is heard, first as it was and then without its folder, one acts by the word and one is down.
+    let [heard, acts, down] = [1, 2, 3].map(|i| (adder + i) % 4);
+    world.kill(down, false);
+    world.kill(heard, true);
+    world.restart(heard, &rules(1, &["hall-a"]));
+    let young = world.tick();
+    let before = world.nodes[acts].process.as_ref().unwrap().lease_until();
+    for (from, letter) in young.iter().chain(&old).filter(|(from, _)| *from == heard) {
+        world.deliver(*from, letter);
+    }
+    world.advance();
+    let words = world.tick();
+    assert!(words.iter().any(|(from, word)| *from == adder && usize::from(word.to) == acts));
+    words.iter().for_each(|(from, word)| world.deliver(*from, word));
+    assert_eq!(world.nodes[acts].process.as_ref().unwrap().lease_until(), before);
 }
 
 #[test]
@@ -100,6 +146,10 @@
     assert!(words.len() >= 4 && before.iter().all(|&until| until <= world.now + LEASE_MS));
     words.iter().for_each(|(from, word)| world.deliver(*from, word));
     assert_eq!(until(&world), before);
+    let (from, word) = words.last().unwrap();
+    let [to, other] = [1, 2].map(|i| (from + i) % 3);
+    let process = Arc::make_mut(world.nodes[to].process.as_mut().unwrap());
+    assert_eq!(process.hear(world.now, other as u16, &word.body), Err(NoteError::Sender(other as u16)));
 
     let mut early = World::in_force(3, &rules(1, &["hall-a"]));
     early.now -= 2_000;
@@ -142,7 +192,7 @@
     let back = process.reload(START, rules(4, &["hall-a", "hall-b"]));
     assert_eq!(back, Err(ReloadError::GoesBack { given: 4, held: 5, next: 6 }));
     assert_eq!(process.held().map(|tag| tag.revision).collect::<Vec<_>>(), [5]);
-    let record = rudderspindle_placement::Record::restore(&process.snapshot().bytes, &key()).unwrap();
+    let record = Record::restore(&process.snapshot().bytes, &key()).unwrap();
     let mut next =
         Placement::new(settings(0, 3), Some(rules(4, &["hall-b"])), Some(record), 2, START).unwrap();
     assert!(next.changes().contains(&Change::FileIsOld { file: 4, held: 5 }));
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -71,6 +71,8 @@
     pub now: u64,
     /// See `Settings::announce_ms`; set by the test once the first revision is in force.
     pub announce_ms: u64,
+    /// When in a round senders keep and send, ms from its start, the first 0 (to state) and the last 400 (for word).
+    pub times: &'static [u64],
     pub nodes: Vec<Node>,
     judge: Judge,
 }
@@ -98,8 +100,13 @@
             node.start(settings(me, senders), None, START - 500);
             node
         });
-        let mut world =
-            World { now: START - 500, announce_ms: 0, nodes: nodes.collect(), judge: Judge::default() };
+        let mut world = World {
+            now: START - 500,
+            announce_ms: 0,
+            times: &[0, 400],
+            nodes: nodes.collect(),
+            judge: Judge::default(),
+        };
         world.judge();
         for _ in 0..2 {
             let letters = world.tick();
@@ -111,10 +118,12 @@
         world
     }
 
-    /// The next time at which something is due: a round's start, or its word's time.
+    /// The next time of the round at which senders look what is due.
     pub fn advance(&mut self) {
-        self.now += if self.now.is_multiple_of(500) { 400 } else { 100 };
-        if self.now.is_multiple_of(500) {
+        let start = self.now - self.now % 500;
+        let next = self.times.iter().map(|time| start + time).find(|&time| time > self.now);
+        self.now = next.unwrap_or(start + 500);
+        if next.is_none() {
             self.judge.stood.clear();
         }
         self.judge();
