--- a/crates/share/src/views.rs
+++ b/crates/share/src/views.rs
@@ -5,16 +5,18 @@
 //! In each round every sender reports to one that is drawn, the same everywhere; that one answers all that told it with
 //! what it knows: registers added up with the names of whose they are, judgements by judge.
 
+mod error;
 mod note;
 mod tell;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::counts::{Counts, EPOCH, Interval, part};
-use crate::envelope::{EnvelopeError, Kind, open, read};
+use crate::envelope::{Kind, open, read};
 use crate::judgements::{Judgements, Receiver};
-use crate::membership::{Incarnation, Roster, Standing, TooFarAhead};
+use crate::membership::{Incarnation, Roster, Standing};
 use crate::post::Post;
+pub use error::ViewsError;
 use note::{Aged, Judged, Report, View, epoch_of};
 
 /// Senders of a tier at most: their bits take a fourth of a note.
@@ -33,33 +35,6 @@
 /// A note, and the number of the sender that it goes to.
 type Letter = (usize, Vec<u8>);
 
-/// Why a datagram does not count; nothing has changed then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[non_exhaustive]
-pub enum ViewsError {
-    /// It is no note of a further kind.
-    #[error(transparent)]
-    Envelope(#[from] EnvelopeError),
-    /// It is one of a kind that is for others.
-    #[error("{0:?} is neither a report nor a view")]
-    Kind(Kind),
-    /// Of a round that is over, or of one to come.
-    #[error("it is of another round")]
-    Round,
-    /// From nobody of the tier, or from ourselves.
-    #[error("it comes from no other sender of the tier")]
-    Stranger,
-    /// Of a process that was replaced.
-    #[error("it comes from an older process under that number")]
-    Older,
-    /// Of an incarnation that cannot be.
-    #[error(transparent)]
-    TooFarAhead(#[from] TooFarAhead),
-    /// The tier has more senders than a note has bits for.
-    #[error("a tier of {0} senders; notes have room for {MOST_SENDERS}")]
-    TooMany(usize),
-}
-
 /// The tables of one sender, and what to tell whom. Beyond what its parts hold: whom to answer, for three rounds at most.
 #[derive(Clone, Debug)]
 pub struct Views {
@@ -159,6 +134,8 @@
             let (of, askers) = entry.remove_entry();
             letters.extend(self.answers(now, of, &askers));
         }
+        // A clock that went back leaves rounds that are far off now.
+        self.told_by.retain(|of, _| *of <= round + 1);
         self.open_from = round;
         let moment = self.me as u64 * REPORTING / self.halls.len().max(1) as u64;
         if self.round != Some(round) {
--- a/crates/share/tests/counts_hold_the_truth.rs
+++ b/crates/share/tests/fleet_of_views/counts.rs
@@ -1,10 +1,8 @@
 //! Counts over a wire that loses, doubles, reorders and replays, among senders that die and come back.
 
-mod world;
-
+use super::world::{START, World};
 use proptest::prelude::*;
 use rudderspindle_share::{Counts, Incarnation};
-use world::{START, World};
 
 /// What a sender reads against the truth, of the epochs that are over at all.
 fn check(world: &World, n: usize, tenant: u16, epochs: u64) -> Result<(), String> {
--- a/crates/share/tests/judgements_spread.rs
+++ b/crates/share/tests/fleet_of_views/judgements.rs
@@ -1,9 +1,7 @@
 //! Judgements among many senders, by the notes that they send one another.
 
-mod world;
-
+use super::world::{START, World};
 use rudderspindle_share::{Receiver, Seen};
-use world::{START, World};
 
 /// Halls in turn.
 fn halls(senders: usize, of: usize) -> Vec<u16> {
@@ -102,6 +100,39 @@
     assert!(avoided * 20 < calls, "{avoided} times avoided, {calls} called");
 }
 
+#[test]
+fn a_judgement_is_kept_up_by_those_who_look_and_ends_with_the_receivers_return_clocks_apart() {
+    let mut world = World::new(&halls(40, 1), 12);
+    for n in 0..40 {
+        world.senders[n].ahead = n as i64 % 3 * 100 - 100;
+    }
+    let first = receivers()[0];
+    let mut failed = [0; 2];
+    let mut avoided = 0;
+    world.run(40_000, |world| {
+        let down = (5_000..25_000).contains(&(world.now - START));
+        for n in 0..40 {
+            // Each has a call in two seconds for it.
+            if !world.chance(1.0 / 40.0) {
+                continue;
+            }
+            let goes_round = !avoids(world, n).is_empty();
+            if down {
+                failed[0] += 1;
+                failed[1] += usize::from(!goes_round);
+            }
+            avoided += usize::from(goes_round && world.now > START + 25_000 + 9_000);
+            if !goes_round {
+                saw(world, n, first, if down { Seen::Failed } else { Seen::Answered });
+            }
+        }
+    });
+    let [without, with] = failed;
+    println!("{with} of {without} calls failed");
+    assert!(with * 2 < without, "{with} of {without} calls failed");
+    assert_eq!(avoided, 0, "avoided nine seconds after its return");
+}
+
 #[test]
 fn two_halls_cut_from_one_another_judge_each_for_itself() {
     let mut world = World::new(&halls(20, 2), 10);
