--- a/crates/share/src/counts.rs
+++ b/crates/share/src/counts.rs
@@ -14,14 +14,16 @@
 use crate::membership::Incarnation;
 pub use quota::{MOST_OF_ALL, Quota, part};
 pub(crate) use register::MOST_LISTED;
+use register::most_of;
 pub use register::{Pane, Register};
 
 /// Length of an epoch, ms of the shared wall clock.
 pub const EPOCH: u64 = 1_000;
-/// Epochs that are remembered, the one that runs among them: for a reading over five, and for notes that are late.
-pub const KEPT: u64 = 8;
-/// From its end on, so many epochs pass until others' word of an epoch has come: one to tell, one for the answer.
-pub const LAG: u64 = 2;
+/// Epochs that are remembered, the one that runs among them: for a reading over six.
+pub const KEPT: u64 = 10;
+/// The newest epoch that is read is so many before the one that runs: it is told in the one after it and twice more, and the
+/// answers come when those are over.
+pub const LAG: u64 = 4;
 /// Epochs that can be read at once at most.
 pub const MOST_READ: u64 = KEPT - LAG;
 /// Incarnations of one sender within one epoch whose registers are kept, the newest ones.
@@ -49,7 +51,7 @@
 /// use rudderspindle_share::{Counts, Incarnation};
 /// let mut counts = Counts::new(0, 3, Incarnation(1), 0, 100);
 /// counts.handed_in(1_500, 7);
-/// let read = counts.read(3_000, 7, 1);
+/// let read = counts.read(5_000, 7, 1);
 /// assert_eq!((read.least, read.most, read.heard), (1, 201, 1)); // 100 at most from each of two unheard
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -200,16 +202,17 @@
     fn read_epoch(&self, now: u64, tenant: u16, epoch: u64) -> Interval {
         let direct = self.pane(now, epoch).unwrap_or_default();
         let told = self.panes.get(&epoch).into_iter().flatten().map(|(_, pane)| pane);
-        let ends = told.clone().chain([&direct]).map(|pane| pane.ends(tenant, self.senders, self.most));
-        let (least, most) =
-            ends.clone().fold((0, u64::MAX), |all: (u64, u64), ends| (all.0.max(ends.0), all.1.min(ends.1)));
-        let heard = told.chain([&direct]).map(Pane::senders).max().unwrap_or_default();
+        let panes: Vec<&Pane> = told.chain([&direct]).collect();
+        let ends = panes.iter().map(|pane| pane.ends(tenant, self.senders, self.most));
+        let least = ends.clone().map(|(least, _)| least).max().unwrap_or_default();
+        let most = most_of(&panes, tenant, self.senders, self.most);
+        let heard = panes.iter().map(|pane| pane.senders()).max().unwrap_or_default();
         let at = (heard > 1).then_some((epoch + 1) * EPOCH);
         if least <= most {
             return Interval { least, most, heard, at };
         }
         // Somebody lies: both may be so.
-        let most = ends.fold(0, |most, ends| most.max(ends.1));
+        let most = ends.map(|(_, most)| most).max().unwrap_or_default();
         Interval { least: direct.ends(tenant, self.senders, self.most).0, most, heard, at }
     }
 
--- a/crates/share/src/counts/register.rs
+++ b/crates/share/src/counts/register.rs
@@ -137,3 +137,24 @@
             && all <= most.saturating_mul(self.senders() as u64)
     }
 }
+
+/// At most so much a tenant handed in to all of a tier, by several panes of one epoch: each by itself, and each together
+/// with those after it that have senders whom those before have not. What two have in common counts twice in that, which is
+/// too much at worst; of whom none tells, `most` each.
+pub(crate) fn most_of(panes: &[&Pane], tenant: u16, senders: usize, most: u64) -> u64 {
+    let from = |first: usize| {
+        let (mut seen, mut told, mut least_most) = (BTreeSet::new(), 0_u64, u64::MAX);
+        for pane in &panes[first..] {
+            let before = seen.len();
+            seen.extend(pane.numbers());
+            if seen.len() > before {
+                told = told.saturating_add(pane.ends(tenant, pane.whole_senders(), 0).1);
+                let unheard = senders.saturating_sub(seen.len()) as u64;
+                least_most = least_most.min(told.saturating_add(unheard.saturating_mul(most)));
+            }
+        }
+        least_most
+    };
+    let of_nobody = (senders as u64).saturating_mul(most);
+    (0..panes.len()).map(from).fold(of_nobody, u64::min)
+}
--- a/crates/share/src/lib.rs
+++ b/crates/share/src/lib.rs
@@ -19,7 +19,7 @@
 mod sums;
 mod views;
 
-pub use counts::{Counts, EPOCH, Interval, MOST_OF_ALL, Pane, Quota, Register, part};
+pub use counts::{Counts, EPOCH, Interval, LAG, MOST_OF_ALL, Pane, Quota, Register, part};
 pub use envelope::{EnvelopeError, Kind, LONGEST_BODY, open, read, seal};
 pub use fleet::{Fleet, Letter, Own, ROUND};
 pub use judgements::{Judgements, Receiver, Seen, Word};
--- a/crates/share/src/views.rs
+++ b/crates/share/src/views.rs
@@ -36,6 +36,25 @@
 type Letter = (usize, Vec<u8>);
 
 /// The tables of one sender, and what to tell whom. Beyond what its parts hold: whom to answer, for three rounds at most.
+///
+/// ```
+/// use rudderspindle_share::{Class, Incarnation, Kind, Post, Views};
+/// let views = |me| Views::new(me, vec![0, 0], Incarnation(1), 0, 100).expect("one of the tier");
+/// let (mut a, mut b) = (views(0), views(1));
+/// let post = || Post::new(&[(Kind::Report, Class { rank: 0, every: 0, cost: 2 })]);
+/// let (mut post_a, mut post_b) = (post(), post());
+/// a.counts().handed_in(10_000, 7);
+/// for now in (10_000..14_000).step_by(100) {
+///     for (_, note) in a.notes_due(now, &mut post_a) {
+///         b.hear(now, 0, &note).expect("a note");
+///     }
+///     for (_, note) in b.notes_due(now, &mut post_b) {
+///         a.hear(now, 1, &note).expect("a note");
+///     }
+/// }
+/// let read = b.counts().read(14_000, 7, 1);
+/// assert_eq!((read.least, read.most, read.heard), (1, 1, 2));
+/// ```
 #[derive(Clone, Debug)]
 pub struct Views {
     me: usize,
@@ -178,7 +197,8 @@
             |n: &usize| crc32fast::hash(&[round.to_le_bytes(), (*n as u64 | 1 << 32).to_le_bytes()].concat());
         let mut order: Vec<(u32, usize)> = (0..self.halls.len()).map(|n| (rank(&n), n)).collect();
         order.sort_unstable();
-        let missed = self.viewed + HEEDED < round;
+        // The answers of the last round may still be on their way.
+        let missed = self.viewed + 2 < round;
         let asked = if missed || self.judgements.is_alert(now) { MOST_ASKED } else { 1 };
         order.into_iter().take(asked).map(|(_, n)| n).filter(|n| *n != self.me).collect()
     }
--- a/crates/share/src/views/note.rs
+++ b/crates/share/src/views/note.rs
@@ -8,8 +8,8 @@
 
 /// Epochs of which a report tells, so that two lost ones are made up for.
 pub(super) const MOST_REGISTERS: usize = 3;
-/// Epochs of which a view tells.
-pub(super) const MOST_PANES: usize = 2;
+/// Epochs of which a view tells, where there is room.
+pub(super) const MOST_PANES: usize = 3;
 /// Receivers of which a view tells.
 pub(super) const MOST_RECEIVERS: usize = 6;
 /// Judges of a receiver of which a view tells: one more than are needed, as the reader may be one.
@@ -120,7 +120,7 @@
 }
 
 impl View {
-    /// Without what matters least where there is no room: the older epoch, small tenants down to eight, the receivers with
+    /// Without what matters least where there is no room: the older epochs, small tenants down to eight, the receivers with
     /// the fewest judges, then the other tenants.
     pub fn encode(mut self) -> Result<Vec<u8>, EnvelopeError> {
         while too_long(&self) {
--- a/crates/share/src/views/tests.rs
+++ b/crates/share/src/views/tests.rs
@@ -34,7 +34,7 @@
         assert!(note.len() <= 256, "{} bytes", note.len());
         let mut reader = views(to, MOST_SENDERS);
         reader.hear(NOW, 0, &note).expect("a view");
-        let read = reader.counts.read((ROUND + 1) * EPOCH, 60_000, 1);
+        let read = reader.counts.read((ROUND + 3) * EPOCH, 60_000, 1);
         assert_eq!(read.heard, MOST_SENDERS);
         assert!(read.most >= u64::from(u32::MAX / 512) * 511, "{read:?}");
         assert!(reader.judgements.is_alert(NOW), "its judgements came along");
@@ -78,6 +78,22 @@
     assert_eq!(reader.hear(NOW, 1, &report(ROUND, 1)), Ok(()));
 }
 
+#[test]
+fn what_an_earlier_process_of_a_judge_said_is_void_from_the_first_word_of_the_next() {
+    let all = [Receiver::of(1, "a"), Receiver::of(1, "b")];
+    let mut reader = Views::new(0, vec![0; 9], Incarnation(1), 0, 10).expect("one of the tier");
+    let report = |incarnation, words| {
+        Report { incarnation, round: ROUND, registers: vec![], words }.encode().expect("it fits")
+    };
+    let told = report(1, vec![(all[0], Aged::new(ROUND, &word(100)))]);
+    (1..4).for_each(|judge| reader.hear(NOW, judge, &told).expect("a report"));
+    assert_eq!(reader.avoided(NOW, &all), [all[0]]);
+    reader.hear(NOW, 2, &report(2, vec![])).expect("a report");
+    assert!(reader.avoided(NOW, &all).is_empty());
+    assert_eq!(reader.hear(NOW, 2, &told), Err(ViewsError::Older));
+    assert!(reader.avoided(NOW, &all).is_empty());
+}
+
 proptest! {
     #[test]
     fn whatever_peers_say_nothing_panics_and_no_table_grows_beyond_its_bound(
