--- a/crates/share/src/counts.rs
+++ b/crates/share/src/counts.rs
@@ -66,8 +66,8 @@
 }
 
 impl Counts {
-    /// Sender number `me` of `senders`, under that incarnation. Before `whole_from`, ms since 1970, another process may
-    /// have taken on, or takes on beside it, under its number: epochs that began before are partial. One sender, with
+    /// Sender number `me` of `senders`, under that incarnation. Up to `whole_from`, ms since 1970, another process may
+    /// have taken on, or takes on beside it, under its number: epochs that began by then are partial. One sender, with
     /// all its processes, takes on `most_per_s` messages a second at most.
     pub fn new(
         me: usize,
@@ -85,7 +85,7 @@
     pub fn handed_in(&mut self, now: u64, tenant: u16) {
         self.forget(now);
         let epoch = now / EPOCH;
-        let partial = epoch * EPOCH < self.whole_from;
+        let partial = epoch * EPOCH <= self.whole_from;
         let name = (self.me, self.incarnation);
         let new = || Register { partial, ..Register::default() };
         let own = self.registers.entry(epoch).or_default().entry(name).or_insert_with(new);
@@ -97,7 +97,7 @@
     pub fn own(&self, now: u64, epoch: u64) -> Option<Register> {
         let started = epoch.saturating_add(1).saturating_mul(EPOCH) > self.incarnation.0;
         let known = started && epoch < now / EPOCH && epoch + KEPT > now / EPOCH;
-        let partial = epoch.saturating_mul(EPOCH) < self.whole_from;
+        let partial = epoch.saturating_mul(EPOCH) <= self.whole_from;
         let quiet = Register { partial, ..Register::default() };
         let told = self.registers.get(&epoch).and_then(|all| all.get(&(self.me, self.incarnation)));
         known.then(|| told.cloned().unwrap_or(quiet).shortened())
--- a/crates/share/tests/fleet_of_views/counts.rs
+++ b/crates/share/tests/fleet_of_views/counts.rs
@@ -50,13 +50,14 @@
 
 #[test]
 fn a_sender_killed_and_back_within_an_epoch_counts_under_both_names_also_with_an_empty_folder() {
-    for on_folder in [true, false] {
+    // In the middle of an epoch, and in its first millisecond, in which the earlier process took on, too.
+    for (on_folder, at) in [(true, 4_400), (false, 4_400), (true, 5_000), (false, 5_000)] {
         let mut world = World::new(&[0; 4], 7);
         let mut restarted = false;
         let mut wrong = Ok(());
         world.run(13_000, |world| {
             (0..4).for_each(|n| world.hand_in(n, 1));
-            if world.now == START + 4_400 {
+            if world.now == START + at {
                 world.restart(2, on_folder);
                 restarted = true;
             }
