--- a/crates/share/src/judgements/tests.rs
+++ b/crates/share/src/judgements/tests.rs
@@ -75,6 +75,10 @@
     let mut judgements = heard(&[1, 2, 3], all[0], down(T - 900, T), T);
     assert_eq!(judgements.avoided(T + EXPIRES - 1, 10, &all), [all[0]]);
     assert!(judgements.avoided(T + EXPIRES, 10, &all).is_empty(), "not told again");
+    // The judges' sight is old before the word of it is.
+    let mut judgements = heard(&[1, 2, 3], all[0], down(T - 4_800, T - 4_500), T);
+    assert_eq!(judgements.avoided(T + 499, 10, &all), [all[0]]);
+    assert!(judgements.avoided(T + 500, 10, &all).is_empty());
     let mut judgements = heard(&[], all[0], down(T, T), T);
     let mut avoided = Vec::new();
     for now in (T..T + 20_000).step_by(500) {
