share: rights to call, a bound on what all start that needs no notes; turns in the module

Change: crates/share, rights: a limit is cut into turns by the shared clock, each with one owner; what a sender will not need it gives up in each round to a drawn dealer, which deals to those that ask. The module is told its turns (Event::Turns) and lets no call go without one; without keep_rights() nothing differs. Not wired to the sender yet.

Measured in share's own tests: no turn used twice over random loss, doubling, delay up to 0.9 s, replay, cuts, kills, stops and clocks up to 200 ms apart (proptest), the bound held in every second; 300 senders that each want little use 0.97 and more of what comes at 0.89 of the limit; a lone one has 0.9 of all turns within two seconds.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -43,6 +43,7 @@
 pub struct Sender {
     settings: Settings,
     hears_notes: bool,
+    keeps_rights: bool,
     chance: Chance,
     /// The host's clock at the first batch: all times kept here count from it.
     started_at: Option<Millis>,
@@ -134,6 +135,7 @@
         settings.validate()?;
         Ok(Self {
             hears_notes: false,
+            keeps_rights: false,
             chance: Chance::new(seed),
             started_at: None,
             now: 0.0,
@@ -192,6 +194,13 @@
                 let turn = (gate.wait_until, gate.draw_at);
                 gate.draw_at = gate.room.told(self.now, *calls, *lasts, need, turn);
             }
+            Event::Turns { destination, route, turns } => {
+                let Some(d) = self.destinations.get_mut(destination) else { return };
+                let gate = d.scope(*route).map(|scope| d.gate_of_mut(scope));
+                let turn = |t: &Turn| (t.number, self.now + t.from, self.now + t.until);
+                let turns: Vec<_> = turns.iter().map(turn).collect();
+                gate.into_iter().for_each(|gate| gate.room.deal(self.now, &turns));
+            }
             Event::Started { id, attempt } => {
                 let out = self.messages.get_mut(id).filter(|m| m.out.is_some_and(|out| out.0 == *attempt));
                 out.into_iter().for_each(|m| m.worth.ends_at = f64::INFINITY);
--- a/crates/decide/src/decide/choice.rs
+++ b/crates/decide/src/decide/choice.rs
@@ -74,7 +74,7 @@
         let now = self.now;
         let shared = d.shared_pace(Scope::Route(index), now);
         let gate = d.gate_mut(index);
-        gate.room.sent(shared);
+        gate.room.sent(now, shared);
         let limited = gate.draw_at > now - BURST;
         gate.draw_at =
             gate.draw_at.max(now - BURST) + self.chance.pause(1_000.0 / shared.unwrap_or(gate.pace));
--- a/crates/decide/src/decide/destination.rs
+++ b/crates/decide/src/decide/destination.rs
@@ -61,7 +61,7 @@
     }
 
     /// From when on a route could take a call, as far as its gate and health are concerned.
-    pub(super) fn opens_at(&self, index: usize) -> Millis {
+    pub(super) fn opens_at(&self, index: usize, now: Millis) -> Millis {
         let (route, gate) = (&self.routes[index], self.gate(index));
         let mut at = if self.down(index) { f64::NEG_INFINITY } else { gate.draw_at };
         for scope in self.scopes(index) {
@@ -72,6 +72,8 @@
                 State::Cold { .. } => health.ramp_at,
             });
         }
+        // Departure (rights are kept): whatever else holds, a call needs a turn.
+        at = at.max(gate.room.opens_at(now));
         if route.listing == Listing::Ready { at.max(gate.wait_until) } else { f64::INFINITY }
     }
 }
--- a/crates/decide/src/decide/dispatch.rs
+++ b/crates/decide/src/decide/dispatch.rs
@@ -34,7 +34,7 @@
     /// When something is due at a destination with messages that wait: an answer, or a draw.
     pub(super) fn next_look(&self, d: &Destination) -> Millis {
         let answers = d.waiting.iter().filter_map(|id| self.messages.get(id)).map(|m| m.answer_at);
-        let opens = (0..d.routes.len()).map(|r| d.opens_at(r)).filter(|&at| at > self.now);
+        let opens = (0..d.routes.len()).map(|r| d.opens_at(r, self.now)).filter(|&at| at > self.now);
         answers.chain(opens).fold(f64::INFINITY, f64::min)
     }
 
@@ -59,7 +59,8 @@
             if !self.has_turn(message) {
                 continue;
             }
-            let open: Vec<usize> = (0..d.routes.len()).filter(|&r| d.opens_at(r) <= self.now).collect();
+            let open: Vec<usize> =
+                (0..d.routes.len()).filter(|&r| d.opens_at(r, self.now) <= self.now).collect();
             if open.is_empty() {
                 return;
             }
--- a/crates/decide/src/decide/list.rs
+++ b/crates/decide/src/decide/list.rs
@@ -58,6 +58,9 @@
         if self.hears_notes {
             gate.room = Room::unheard(self.now, told, self.settings.peers_total);
         }
+        if self.keeps_rights {
+            gate.room = gate.room.strict();
+        }
         if d.routes.is_empty() {
             d.shared = gate.clone();
         }
--- a/crates/decide/src/decide/wants.rs
+++ b/crates/decide/src/decide/wants.rs
@@ -27,6 +27,11 @@
         self.hears_notes = true;
     }
 
+    /// Its host will tell it turns: no call starts without one.
+    pub fn keep_rights(&mut self) {
+        self.keeps_rights = true;
+    }
+
     /// What is wanted of each limit, and what was done to it so far.
     pub fn wants(&self) -> Vec<Want> {
         let of = |(&destination, d): (&DestinationId, &Destination)| {
--- a/crates/decide/src/interface/event.rs
+++ b/crates/decide/src/interface/event.rs
@@ -22,6 +22,17 @@
     },
 }
 
+/// A right to start one call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    /// Names it at its limit; one that is told again and was used stays used.
+    pub number: u64,
+    /// How long from now it begins; below 0 where it has begun.
+    pub from: Millis,
+    /// How long from now it is over.
+    pub until: Millis,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -84,6 +95,15 @@
         /// How long this may be relied on.
         lasts: Millis,
     },
+    /// Where rights are kept: the turns at a limit that this sender may use, in place of those told before.
+    Turns {
+        /// The destination.
+        destination: DestinationId,
+        /// The route, where routes are apart.
+        route: Option<RouteId>,
+        /// One for each call.
+        turns: Vec<Turn>,
+    },
     /// A streamed answer has begun; the attempt belongs to the client from here.
     Started {
         /// The message.
--- a/crates/share/src/envelope.rs
+++ b/crates/share/src/envelope.rs
@@ -27,11 +27,15 @@
     Rules,
     /// The hottest streams.
     Hot,
+    /// Rights that a sender gives up, and asks for.
+    Offer,
+    /// Rights that it is lent.
+    Grant,
 }
 
 impl Kind {
     /// All of them, as they are numbered on the wire.
-    pub const ALL: [Self; 4] = [Self::Report, Self::View, Self::Rules, Self::Hot];
+    pub const ALL: [Self; 6] = [Self::Report, Self::View, Self::Rules, Self::Hot, Self::Offer, Self::Grant];
 }
 
 /// Why a datagram is no note of a further kind, or a body is none.
--- a/crates/share/src/membership.rs
+++ b/crates/share/src/membership.rs
@@ -135,7 +135,7 @@
         Ok(Standing::Same)
     }
 
-    /// Whether the number was heard within [`SILENT`]; if not but [`Roster::turn`] knows it, it died, stopped or is cut off.
+    /// Whether the number was heard within [`SILENT`]; if not but [`Roster::fate`] knows it, it died, stopped or is cut off.
     pub fn is_alive(&self, number: usize, now: u64) -> bool {
         self.members.get(&number).is_some_and(|member| member.heard.saturating_add(SILENT) > now)
     }
--- /dev/null
+++ b/crates/share/src/rights.rs
@@ -0,0 +1,247 @@
+//! Rights to call: a bound on what all senders together start at a limit, whoever hears nothing, for however long.
+//!
+//! Invariant: each turn of a limit may be used by one process at the most, within [`VALID`] of its beginning.
+//!
+//! A limit is dealt out as turns ([`Schedule`](schedule::Schedule)), each with one owner, by the shared clock alone. In
+//! each round a sender gives up the turns of the round's term that it will not need, to one other that deals them out
+//! to those that ask; it has given them up before the note leaves. A note that is lost leaves turns unused, never used
+//! twice. Where `n` senders' clocks differ by `e` at the most, calls started in a span `s` are at the most
+//! `0.95 * limit * (s + VALID + 2 e) + 1`; while the list is changing, with the larger limit.
+
+mod dealer;
+mod dealers;
+mod held;
+mod note;
+mod schedule;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use crate::envelope::EnvelopeError;
+use crate::fleet::{Letter, Own};
+use crate::gate::Gate;
+use crate::membership::Incarnation;
+use dealer::Dealer;
+use dealers::Dealers;
+use held::Held;
+use note::{Grant, MOST_GATES, MOST_TURNS, Offer, OfferEntry, RightsNote};
+use schedule::Schedule;
+
+/// Length of a round, ms.
+pub const ROUND: u64 = 500;
+/// Offers go out within this part of a round, each sender's at a moment of its own, ms: what was lent in the last round
+/// has come by then, and the last offers still arrive.
+const OFFERING: Range<u64> = 100..400;
+/// After a round's end so much is left for the way of what is lent before its term begins, ms.
+const LEAD: u64 = 150;
+/// How long a turn may be used, ms: longer than a sender takes from one look at what waits to the next.
+const VALID: u64 = 100;
+/// A clock that goes back by more than this has been set, ms.
+const BACK: u64 = 50;
+
+/// The time whose turns are dealt out in a round, ms since 1970: before it all have heard what they are lent.
+fn term(round: u64) -> Range<u64> {
+    let begins = (round + 1) * ROUND + LEAD;
+    begins..begins + ROUND
+}
+
+/// A right to start one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    /// Names it, at its gate.
+    pub number: u64,
+    /// From when on, ms since 1970.
+    pub from: u64,
+    /// Before when.
+    pub until: u64,
+}
+
+/// Why a note on rights was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum RightsError {
+    /// It is no such note.
+    #[error(transparent)]
+    Envelope(#[from] EnvelopeError),
+    /// Of a round that is over, or was heard, or not asked of who answers, or asked by an earlier process.
+    #[error("it is of another round, process or dealer")]
+    Round,
+    /// From nobody of the tier, or from ourselves.
+    #[error("it comes from no other sender of the tier")]
+    Stranger,
+}
+
+/// One sender's rights. They begin anew with each process.
+#[derive(Clone, Debug)]
+pub struct Rights {
+    me: usize,
+    senders: usize,
+    incarnation: Incarnation,
+    /// The round of the last offer.
+    offered: u64,
+    /// The latest time seen.
+    last: u64,
+    /// Who was asked to deal, in rounds whose terms are not over.
+    asked: BTreeMap<u64, usize>,
+    gates: BTreeMap<Gate, Held>,
+    dealers: Dealers,
+    dealer: Dealer,
+}
+
+impl Rights {
+    /// Of sender number `me` of `senders`, in the process of that incarnation, from `wall` on (ms since 1970). An earlier
+    /// process of the same sender has ended by then.
+    pub fn new(me: usize, senders: usize, incarnation: Incarnation, wall: u64) -> Self {
+        let round = wall / ROUND;
+        Self {
+            me,
+            senders,
+            incarnation,
+            offered: round,
+            last: wall,
+            asked: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            dealers: Dealers::new(senders),
+            dealer: Dealer::new(round),
+        }
+    }
+
+    /// When this sender's next offer is due, ms since 1970.
+    pub fn next_offer(&self, wall: u64) -> u64 {
+        let moment = self.me as u64 * (OFFERING.end - OFFERING.start) / self.senders.max(1) as u64;
+        let at = wall / ROUND * ROUND + OFFERING.start + moment;
+        if at > wall { at } else { at + ROUND }
+    }
+
+    /// When what others offered is to be dealt out, ms since 1970.
+    pub fn next_deal(&self) -> Option<u64> {
+        self.dealer.next().map(|round| (round + 1) * ROUND)
+    }
+
+    /// A clock that was set back begins everything anew: what was given up in its terms is not known by their names.
+    fn look(&mut self, wall: u64) {
+        if wall + BACK < self.last {
+            *self = Self::new(self.me, self.senders, self.incarnation, wall);
+        }
+        self.last = self.last.max(wall);
+    }
+
+    /// Once a round: gives up what this sender will not need, and asks for what it lacks.
+    pub fn offer(&mut self, wall: u64, own: &[Own]) -> Option<Letter> {
+        self.look(wall);
+        let round = wall / ROUND;
+        self.gates.retain(|gate, _| own.iter().any(|o| o.gate == *gate));
+        for o in own {
+            let schedule = Schedule::new(o.gate, o.limit, self.senders);
+            let held = self.gates.entry(o.gate).or_insert_with(|| Held::new(schedule, round));
+            if held.schedule != schedule {
+                *held = Held::new(schedule, round);
+            }
+            held.forget(wall);
+        }
+        self.asked.retain(|round, _| term(*round).end > wall);
+        if round <= self.offered {
+            return None;
+        }
+        let known_until = term(self.offered).end;
+        self.offered = round;
+        let (dealer, is_there) = self.dealers.of(round)?;
+        self.asked.insert(round, dealer);
+        let mut entries: Vec<OfferEntry> =
+            own.iter().filter_map(|o| self.entry(o, round, wall, known_until, is_there)).collect();
+        entries.sort_by_key(|entry| (std::cmp::Reverse((entry.asked, entry.lent)), entry.gate));
+        entries.truncate(MOST_GATES);
+        for entry in &entries {
+            if let Some(held) = self.gates.get_mut(&Gate(entry.gate)).filter(|_| entry.lent > 0) {
+                held.keep(round, held.own(self.me, round) - usize::from(entry.lent));
+            }
+        }
+        let offer = Offer { round, incarnation: self.incarnation, entries };
+        if dealer == self.me {
+            self.dealer.take(round, self.me, offer);
+            return None;
+        }
+        // One without room for itself goes nowhere: what it gave up is lost to this term.
+        RightsNote::Offer(offer).encode().ok().map(|note| (dealer, note))
+    }
+
+    /// What to offer at a gate: nothing where neither is anything left nor wanted.
+    fn entry(&self, o: &Own, round: u64, wall: u64, known_until: u64, gives: bool) -> Option<OfferEntry> {
+        let held = self.gates.get(&o.gate)?;
+        let coming = held.turns(self.me, wall, known_until).len() as f64;
+        let need = (o.wanted - coming).round().max(0.0) as usize;
+        let mine = held.own(self.me, round);
+        let lent = if gives { mine.saturating_sub(need).min(usize::from(u16::MAX)) } else { 0 };
+        let asked = need.saturating_sub(mine).min(usize::from(MOST_TURNS));
+        let (mark, gate) = (held.schedule.mark(), o.gate.0);
+        (lent + asked > 0).then_some(OfferEntry { gate, mark, lent: lent as u16, asked: asked as u8 })
+    }
+
+    /// Takes in a note; whether there may be other turns now.
+    ///
+    /// # Errors
+    ///
+    /// [`RightsError`] says why it was dropped; nothing has changed then.
+    pub fn hear(&mut self, wall: u64, from: usize, note: &[u8]) -> Result<bool, RightsError> {
+        self.look(wall);
+        if from == self.me || from >= self.senders {
+            return Err(RightsError::Stranger);
+        }
+        match RightsNote::decode(note)? {
+            RightsNote::Offer(offer) => {
+                let counts = self.dealer.take(wall / ROUND, from, offer);
+                if counts { Ok(false) } else { Err(RightsError::Round) }
+            }
+            // Nobody but the one that was asked deals here.
+            RightsNote::Grant(grant) if self.asked.get(&grant.round) == Some(&from) => {
+                if grant.incarnation != self.incarnation {
+                    return Err(RightsError::Round);
+                }
+                self.take(&grant);
+                Ok(true)
+            }
+            RightsNote::Grant(_) => Err(RightsError::Round),
+        }
+    }
+
+    fn take(&mut self, grant: &Grant) {
+        self.dealers.heard(grant.round, grant.heard);
+        for entry in grant.entries.iter().take(MOST_GATES) {
+            let held = self.gates.get_mut(&Gate(entry.gate));
+            if let Some(held) = held.filter(|held| held.schedule.mark() == entry.mark) {
+                held.lend(grant.round, entry);
+            }
+        }
+    }
+
+    /// Deals out what was offered in rounds that are over.
+    pub fn deal(&mut self, wall: u64) -> Vec<Letter> {
+        self.look(wall);
+        let schedule = |gate| self.gates.get(&gate).map(|held: &Held| held.schedule);
+        let grants = self.dealer.deal(wall / ROUND, |n| self.dealers.bit(n), schedule);
+        let mut letters = Vec::new();
+        for (to, grant) in grants {
+            if to == self.me {
+                self.take(&grant);
+            } else if let Ok(note) = RightsNote::Grant(grant).encode() {
+                letters.push((to, note));
+            }
+        }
+        letters
+    }
+
+    /// The turns at a gate that this sender may still use. `open` is the part of the limit that the partner is believed
+    /// to take, from 0 to 1: as many turns are left out, the same at every sender.
+    pub fn turns(&self, wall: u64, gate: Gate, open: f64) -> Vec<Turn> {
+        let Some(held) = self.gates.get(&gate) else { return Vec::new() };
+        let passes = |turn: &Turn| {
+            let draw = crc32fast::hash(&[turn.number, u64::from(gate.0)].map(u64::to_le_bytes).concat());
+            f64::from(draw) < open * f64::from(u32::MAX)
+        };
+        let mut turns = held.turns(self.me, wall, term(self.offered).end);
+        turns.retain(|turn| open >= 1.0 || passes(turn));
+        turns
+    }
+}
--- /dev/null
+++ b/crates/share/src/rights/tests.rs
@@ -0,0 +1,315 @@
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use super::*;
+
+/// Chance from a seed, for tests.
+struct Draw(u64);
+
+impl Draw {
+    fn unit(&mut self) -> f64 {
+        // The multiplier of a 64-bit congruential generator (Knuth); its upper bits are good enough here.
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn below(&mut self, n: usize) -> usize {
+        (self.unit() * n as f64) as usize
+    }
+}
+
+const DAWN: u64 = 1_700_000_000_000;
+const STEP: u64 = 10;
+
+/// How notes fare.
+#[derive(Clone, Copy, Default)]
+struct Weather {
+    lost: f64,
+    doubled: f64,
+    /// So late at most, ms.
+    late: f64,
+}
+
+/// Senders before one gate, each with calls that wait; and every turn that was used.
+struct Tier {
+    draw: Draw,
+    gate: Gate,
+    limit: f64,
+    wall: u64,
+    rights: Vec<Rights>,
+    /// Whether it runs, and how far its clock is off.
+    up: Vec<bool>,
+    off: Vec<i64>,
+    waiting: Vec<u32>,
+    weather: Weather,
+    /// Which part each belongs to: notes pass within a part only.
+    part: Vec<usize>,
+    post: Vec<(u64, usize, usize, Vec<u8>)>,
+    used: BTreeMap<u64, (usize, Incarnation)>,
+    /// When calls started.
+    calls: Vec<u64>,
+}
+
+impl Tier {
+    fn new(seed: u64, senders: usize, limit: f64, weather: Weather) -> Self {
+        let rights = (0..senders).map(|n| Rights::new(n, senders, Incarnation(1), DAWN)).collect();
+        Self {
+            draw: Draw(seed),
+            gate: Gate::of(7, None),
+            limit,
+            wall: DAWN,
+            rights,
+            up: vec![true; senders],
+            off: vec![0; senders],
+            waiting: vec![0; senders],
+            weather,
+            part: vec![0; senders],
+            post: Vec::new(),
+            used: BTreeMap::new(),
+            calls: Vec::new(),
+        }
+    }
+
+    fn clock(&self, n: usize) -> u64 {
+        self.wall.saturating_add_signed(self.off[n])
+    }
+
+    /// A process that has forgotten everything takes the place of the one before.
+    fn begin(&mut self, n: usize) {
+        let incarnation = Incarnation(self.rights[n].incarnation.0 + 1);
+        self.rights[n] = Rights::new(n, self.rights.len(), incarnation, self.clock(n));
+        self.up[n] = true;
+    }
+
+    fn send(&mut self, from: usize, letters: impl IntoIterator<Item = Letter>) {
+        for (to, body) in letters {
+            for _ in 0..1 + usize::from(self.draw.unit() < self.weather.doubled) {
+                let at = self.wall + 1 + (self.weather.late * self.draw.unit()) as u64;
+                if self.draw.unit() >= self.weather.lost && self.part[from] == self.part[to] {
+                    self.post.push((at, from, to, body.clone()));
+                }
+            }
+        }
+    }
+
+    /// `load` messages a second come for all.
+    fn step(&mut self, load: f64) {
+        self.wall += STEP;
+        let senders = self.rights.len();
+        let mut coming = load * STEP as f64 / 1_000.0;
+        while coming > 0.0 {
+            let to = self.draw.below(senders);
+            self.waiting[to] += u32::from(self.draw.unit() < coming);
+            coming -= 1.0;
+        }
+        let wall = self.wall;
+        for (_, from, to, body) in self.post.extract_if(.., |note| note.0 <= wall).collect::<Vec<_>>() {
+            if self.up[to] {
+                // What comes too late, or twice, is dropped.
+                let clock = self.clock(to);
+                let _ = self.rights[to].hear(clock, from, &body);
+            }
+        }
+        for n in (0..senders).filter(|n| self.up[*n]).collect::<Vec<_>>() {
+            self.act(n);
+        }
+    }
+
+    fn act(&mut self, n: usize) {
+        let (clock, limit, gate) = (self.clock(n), self.limit, self.gate);
+        let letters = self.rights[n].deal(clock);
+        self.send(n, letters);
+        if self.rights[n].next_offer(clock - STEP) <= clock {
+            let wanted = f64::from(self.waiting[n]);
+            let own = Own { gate, limit, wanted, called: 0, refused: 0, failed: 0 };
+            let letter = self.rights[n].offer(clock, &[own]);
+            self.send(n, letter);
+        }
+        let who = (n, self.rights[n].incarnation);
+        for turn in self.rights[n].turns(clock, gate, 1.0) {
+            let mine = self.used.get(&turn.number) == Some(&who);
+            if turn.from <= clock && self.waiting[n] > 0 && !mine {
+                let before = self.used.insert(turn.number, who);
+                assert_eq!(before, None, "turn {} used by {who:?}, too", turn.number);
+                self.waiting[n] -= 1;
+                self.calls.push(self.wall);
+            }
+        }
+    }
+
+    fn run(&mut self, ms: u64, load: f64) -> usize {
+        let before = self.calls.len();
+        for _ in 0..ms / STEP {
+            self.step(load);
+        }
+        self.calls.len() - before
+    }
+
+    /// The most calls in any span of so many ms.
+    fn most(&self, span: u64) -> usize {
+        let calls = &self.calls;
+        let from = |n: usize| calls.partition_point(|at| *at + span <= calls[n]);
+        (0..calls.len()).map(|n| n + 1 - from(n)).max().unwrap_or(0)
+    }
+
+    fn bound(&self, span: u64, clocks: u64) -> f64 {
+        0.95 * self.limit * (span + VALID + 2 * clocks + STEP) as f64 / 1_000.0 + 1.0
+    }
+}
+
+#[test]
+fn all_that_there_is_is_used_by_many_that_each_want_little_now_and_then() {
+    let mut tier = Tier::new(3, 300, 75.0, Weather { late: 30.0, ..Weather::default() });
+    tier.run(5_000, 67.0);
+    let before = tier.waiting.iter().sum::<u32>();
+    let calls = tier.run(30_000, 67.0);
+    let left = tier.waiting.iter().sum::<u32>();
+    // As many go as come: nobody is left behind, and no more than half a second's worth waits for its turn.
+    assert!(calls as f64 >= 0.97 * 67.0 * 30.0, "{calls} calls, {before} waited, {left} wait");
+    assert!(left < 100, "{left} wait");
+}
+
+#[test]
+fn one_that_wants_all_of_it_has_nearly_all_within_two_seconds() {
+    let mut tier = Tier::new(5, 12, 60.0, Weather { late: 30.0, ..Weather::default() });
+    tier.run(4_000, 0.0);
+    tier.waiting[4] = 10_000;
+    tier.run(2_000, 0.0);
+    let calls = tier.run(10_000, 0.0);
+    assert!(calls as f64 >= 0.9 * 57.0 * 10.0, "{calls} calls in ten seconds");
+}
+
+#[test]
+fn parts_that_do_not_hear_one_another_keep_the_bound_and_find_one_another_again() {
+    let mut tier = Tier::new(9, 12, 60.0, Weather { late: 30.0, ..Weather::default() });
+    tier.run(4_000, 90.0);
+    tier.part = (0..12).map(|n| if n < 6 { n + 1 } else { 0 }).collect();
+    let cut = tier.run(12_000, 90.0);
+    assert!(cut as f64 >= 0.9 * 57.0 * 12.0, "{cut} calls while half heard nothing");
+    tier.part = vec![0; 12];
+    tier.waiting = vec![0; 12];
+    tier.run(3_000, 0.0);
+    tier.waiting[2] = 10_000;
+    tier.run(3_000, 0.0);
+    let calls = tier.run(5_000, 0.0);
+    assert!(calls as f64 >= 0.85 * 57.0 * 5.0, "{calls} calls of what all have, five seconds after the cut");
+    assert!(tier.most(1_000) as f64 <= tier.bound(1_000, 0));
+}
+
+#[test]
+fn a_grant_of_another_or_for_an_earlier_process_is_none() {
+    let mut rights = Rights::new(0, 3, Incarnation(7), DAWN);
+    let gate = Gate::of(7, None);
+    let own = [Own { gate, limit: 60.0, wanted: 30.0, called: 0, refused: 0, failed: 0 }];
+    let (dealer, _) =
+        (0..).map(|n| DAWN + n * ROUND).find_map(|at| rights.offer(at + 300, &own)).expect("asked");
+    let round = rights.offered;
+    let entry =
+        note::GrantEntry { gate: gate.0, mark: Schedule::new(gate, 60.0, 3).mark(), gaps: vec![1, 1, 1] };
+    let grant = |incarnation, round| {
+        let grant =
+            Grant { round, incarnation: Incarnation(incarnation), heard: 7, entries: vec![entry.clone()] };
+        RightsNote::Grant(grant).encode().expect("short enough")
+    };
+    let (wall, turns) =
+        (round * ROUND + 450, |rights: &Rights| rights.turns(round * ROUND + 450, gate, 1.0).len());
+    let none = turns(&rights);
+    assert_eq!(rights.hear(wall, 3 - dealer, &grant(7, round)), Err(RightsError::Round));
+    assert_eq!(rights.hear(wall, dealer, &grant(6, round)), Err(RightsError::Round));
+    assert_eq!(rights.hear(wall, dealer, &grant(7, round - 1)), Err(RightsError::Round));
+    assert_eq!(turns(&rights), none);
+    assert_eq!(rights.hear(wall, dealer, &grant(7, round)), Ok(true));
+    // One of three in a row is its own.
+    assert_eq!(turns(&rights), none + 2);
+    // Doubled, it says nothing new.
+    assert_eq!(rights.hear(wall, dealer, &grant(7, round)), Ok(true));
+    assert_eq!(turns(&rights), none + 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Whatever becomes of notes, processes and clocks: [`Tier::act`] asserts that no turn is used twice.
+    #[test]
+    fn no_turn_is_used_by_two_processes_and_the_bound_holds(
+        seed: u64, senders in 2usize..14, limit in 0.5f64..200.0, lost in 0.0f64..1.0, late in 0.0f64..900.0, clocks in 0i64..200,
+    ) {
+        let mut tier = Tier::new(seed, senders, limit, Weather { lost, doubled: 0.3, late });
+        for n in 0..senders {
+            tier.off[n] = (tier.draw.unit() * clocks as f64) as i64;
+            tier.begin(n);
+        }
+        let mut old = Vec::new();
+        for _ in 0..60 {
+            tier.run(200, limit * 1.4);
+            let n = tier.draw.below(senders);
+            match tier.draw.below(6) {
+                0 => tier.begin(n),
+                1 => tier.up[n] = false,
+                2 => tier.up[n] = true,
+                3 => tier.part[n] = tier.draw.below(2),
+                4 => old.extend(tier.post.iter().cloned()),
+                _ => tier.post.extend(old.drain(..).map(|(_, from, to, body)| (tier.wall + 1, from, to, body))),
+            }
+        }
+        let (most, bound) = (tier.most(1_000), tier.bound(1_000, clocks as u64));
+        prop_assert!(most as f64 <= bound, "{most} calls in a second, {bound} may be");
+    }
+
+    #[test]
+    fn what_is_no_note_changes_nothing(bytes: Vec<u8>) {
+        let mut rights = Rights::new(0, 3, Incarnation(7), DAWN);
+        if let Err(error) = RightsNote::decode(&bytes) {
+            prop_assert_eq!(rights.hear(DAWN + 700, 1, &bytes), Err(RightsError::Envelope(error)));
+        }
+        // Also in an envelope that fits.
+        let _ = rights.hear(DAWN + 700, 1, &crate::envelope::seal(crate::envelope::Kind::Grant, &bytes).unwrap_or_default());
+        prop_assert!(rights.dealer.len() <= 1);
+    }
+}
+
+/// Gates come and go, and liars name what there is not, for half an hour.
+#[test]
+fn over_a_long_run_no_table_grows_beyond_its_bound() {
+    let mut rights = Rights::new(0, 9, Incarnation(7), DAWN);
+    for round in 1..3_600u64 {
+        let wall = DAWN + round * ROUND + 200;
+        let own = (0..20).map(|n| Own {
+            gate: Gate::of((round / 40 * 3 + n) as u16, None),
+            limit: 30.0,
+            wanted: 20.0,
+            called: 0,
+            refused: 0,
+            failed: 0,
+        });
+        let own: Vec<Own> = own.collect();
+        let asked = rights.offer(wall, &own);
+        for from in 1..9 {
+            let entry = |n: u32| OfferEntry { gate: n, mark: 3, lent: u16::MAX, asked: u8::MAX };
+            let entries = (0..MOST_GATES as u32).map(entry).collect();
+            let round = (wall / ROUND).wrapping_add(from as u64 % 3);
+            let offer = RightsNote::Offer(Offer { round, incarnation: Incarnation(1), entries });
+            let _ = rights.hear(wall, from, &offer.encode().expect("short enough"));
+        }
+        if let Some((dealer, _)) = asked {
+            let entry = |o: &Own| note::GrantEntry {
+                gate: o.gate.0,
+                mark: Schedule::new(o.gate, 30.0, 9).mark(),
+                gaps: vec![0, 1, 2, u16::MAX, 1],
+            };
+            let entries = own.iter().take(12).map(entry).collect();
+            let grant = Grant { round: wall / ROUND, incarnation: Incarnation(7), heard: u64::MAX, entries };
+            rights
+                .hear(wall, dealer, &RightsNote::Grant(grant).encode().expect("short"))
+                .expect("it was asked");
+        }
+        assert!(rights.gates.len() <= 20 && rights.asked.len() <= 4 && rights.dealer.len() <= 16);
+        assert!(
+            rights.gates.values().all(|held| held.len() <= 30),
+            "{:?}",
+            rights.gates.values().map(Held::len)
+        );
+        rights.deal(wall + ROUND);
+    }
+}
--- a/crates/share/src/room.rs
+++ b/crates/share/src/room.rs
@@ -1,5 +1,8 @@
 //! What the fleet's notes leave of one limit to this sender, and what it does to that limit. The decision module
-//! asks for a pace and tells what it sends; without fresh notes there is none, and its own pace counts.
+//! asks for a pace and tells what it sends; without fresh notes there is none, and its own pace counts. Where rights
+//! are kept, each call needs a turn as well, and what notes leave is in the turns.
+
+use std::collections::BTreeMap;
 
 /// A span or a point of time in milliseconds.
 type Millis = f64;
@@ -40,6 +43,8 @@
     until: Millis,
     /// The pace that the turn at hand was set by; 0 if it was not set by one of ours.
     turn_pace: f64,
+    /// Where rights are kept: the turns at hand by number, from when until when, and whether one is used.
+    turns: Option<BTreeMap<u64, (Millis, Millis, bool)>>,
     /// Calls made so far.
     pub called: u64,
     /// ...that were refused.
@@ -54,9 +59,35 @@
         Self { calls: limit / senders as f64, until: now + FIRST_NOTES, ..Self::default() }
     }
 
-    /// Calls a second of a limit of so many that are left to a sender that wants so many within a second.
+    /// A gate at which each call needs a turn, none of which has come yet.
+    #[must_use]
+    pub fn strict(mut self) -> Self {
+        self.turns = Some(BTreeMap::new());
+        self
+    }
+
+    /// Takes in the turns that this sender has now: number, from when and until when. One that was used stays used.
+    pub fn deal(&mut self, now: Millis, turns: &[(u64, Millis, Millis)]) {
+        let used = self.turns.take().unwrap_or_default();
+        let mut used: BTreeMap<_, _> = used.into_iter().filter(|(_, turn)| turn.2 && turn.1 > now).collect();
+        for &(number, from, until) in turns.iter().filter(|turn| turn.2 > now) {
+            used.entry(number).or_insert((from, until, false));
+        }
+        self.turns = Some(used);
+    }
+
+    /// From when on a call may go as far as turns are concerned; never while there is none.
+    pub fn opens_at(&self, now: Millis) -> Millis {
+        let Some(turns) = &self.turns else { return f64::NEG_INFINITY };
+        let next = turns.values().filter(|(_, until, used)| !used && *until > now).map(|turn| turn.0);
+        next.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Calls a second of a limit of so many that are left to a sender that wants so many within a second; where turns
+    /// are kept they are the pace.
     pub fn pace(&self, now: Millis, wanted: f64, limit: f64) -> Option<f64> {
-        (self.until > now).then(|| (self.calls * wanted).clamp(LEAST_PACE, limit.max(LEAST_PACE)))
+        let pace = || (self.calls * wanted).clamp(LEAST_PACE, limit.max(LEAST_PACE));
+        (self.until > now).then(|| if self.turns.is_some() { f64::INFINITY } else { pace() })
     }
 
     /// Takes in what notes say. When a turn at hand is due that was set by an older word: a told wait before it stays.
@@ -71,7 +102,7 @@
         (self.calls, self.until) = (calls, now + lasts);
         let (before, pace) = (self.turn_pace, self.pace(now, wanted, limit).unwrap_or(limit));
         let from = now.max(wait_until);
-        if turn <= from || before == 0.0 {
+        if turn <= from || before == 0.0 || self.turns.is_some() {
             return turn;
         }
         self.turn_pace = pace;
@@ -94,9 +125,12 @@
         1_000.0 / pace
     }
 
-    /// A call goes, by our pace or by another.
-    pub fn sent(&mut self, pace: Option<f64>) {
+    /// A call goes, by our pace or by another, and uses up the turn that ends first.
+    pub fn sent(&mut self, now: Millis, pace: Option<f64>) {
         self.called += 1;
+        let open = |turn: &&mut (Millis, Millis, bool)| !turn.2 && turn.0 <= now && now < turn.1;
+        let turns = self.turns.iter_mut().flat_map(BTreeMap::values_mut).filter(open);
+        turns.min_by(|a, b| a.1.total_cmp(&b.1)).into_iter().for_each(|turn| turn.2 = true);
         self.turn_pace = pace.unwrap_or(0.0);
     }
 
@@ -130,16 +164,16 @@
     fn a_turn_that_was_set_by_an_older_word_comes_as_much_sooner_or_later() {
         let mut room = Room::default();
         room.told(0.0, 0.1, 1_000.0, (1.0, 40.0), NONE);
-        room.sent(room.pace(0.0, 1.0, 40.0));
+        room.sent(0.0, room.pace(0.0, 1.0, 40.0));
         // Ten seconds at a tenth of a call a second: at four tenths what is left takes a quarter.
         assert_eq!(room.told(2_000.0, 0.4, 1_000.0, (1.0, 40.0), (0.0, 10_000.0)), 4_000.0);
         // A told wait is no part of the turn.
-        room.sent(room.pace(2_000.0, 1.0, 40.0));
+        room.sent(2_000.0, room.pace(2_000.0, 1.0, 40.0));
         assert_eq!(room.told(2_500.0, 0.8, 1_000.0, (1.0, 40.0), (4_000.0, 6_000.0)), 5_000.0);
-        room.sent(room.pace(2_500.0, 1.0, 40.0));
+        room.sent(2_500.0, room.pace(2_500.0, 1.0, 40.0));
         // One that is due stays due, and one that another pace set is left alone.
         assert_eq!(room.told(5_000.0, 0.1, 1_000.0, (1.0, 40.0), (0.0, 4_000.0)), 4_000.0);
-        room.sent(None);
+        room.sent(5_000.0, None);
         assert_eq!(room.told(6_000.0, 0.4, 1_000.0, (1.0, 40.0), (0.0, 9_000.0)), 9_000.0);
     }
 
@@ -172,4 +206,22 @@
         assert!((steady - 10.0).abs() < 1.0, "{steady} expected of ten a second");
         assert!(flow.expected(14_000.0, 1_000.0) < 0.5);
     }
+
+    #[test]
+    fn a_call_uses_a_turn_up_and_one_that_is_told_again_stays_used() {
+        let mut room = Room::default().strict();
+        assert_eq!(room.opens_at(0.0), f64::INFINITY);
+        let turns = [(8, 50.0, 150.0), (7, 10.0, 110.0), (9, 200.0, 300.0)];
+        room.deal(0.0, &turns);
+        assert_eq!(room.opens_at(0.0), 10.0);
+        room.sent(60.0, None);
+        assert_eq!(room.opens_at(60.0), 50.0);
+        room.deal(61.0, &turns);
+        room.sent(61.0, None);
+        assert_eq!(room.opens_at(61.0), 200.0);
+        // One that has run out is none, told again or not.
+        assert_eq!(room.opens_at(300.0), f64::INFINITY);
+        room.deal(300.0, &turns);
+        assert_eq!(room.opens_at(300.0), f64::INFINITY);
+    }
 }
--- a/crates/share/src/views/tests.rs
+++ b/crates/share/src/views/tests.rs
@@ -74,7 +74,7 @@
     }
     let absurd = reader.hear(NOW, 1, &report(ROUND, u64::MAX));
     assert!(matches!(absurd, Err(ViewsError::TooFarAhead(_))), "{absurd:?}");
-    assert!(reader.roster.turn(1).is_none() && reader.told_by.is_empty());
+    assert!(reader.roster.fate(1).is_none() && reader.told_by.is_empty());
     assert_eq!(reader.hear(NOW, 1, &report(ROUND, 1)), Ok(()));
 }
 
