Rights wired: with bound = "strict" a limit holds whoever hears nothing, over twelve processes

Change: the operator's file (RELAY_FLEET, TOML, unknown fields refused, read again on SIGHUP whole or not at all) switches rights on. peers offers and hears rights beside the sums, which go at half the pace then, and tells the engine the turns, which the module needs for each call. An incarnation in the state folder grows with each start. Without the file nothing differs: no further notes, no file.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use rudderspindle_sender::{Control, Service, StartError, Usable};
+use rudderspindle_sender::{Control, FleetFile, FleetFileError, Service, StartError, Usable};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 
@@ -29,6 +29,8 @@
     #[error("RELAY_CONTROL is {0:?}, not an address and a port")]
     Control(String),
     #[error(transparent)]
+    Fleet(#[from] FleetFileError),
+    #[error(transparent)]
     Start(#[from] StartError),
     #[error("{0}")]
     Runtime(#[from] std::io::Error),
@@ -58,18 +60,25 @@
     // Before anything else: until it is heeded, a signal ends the program.
     let hangup = signal(SignalKind::hangup())?;
     let terminate = signal(SignalKind::terminate())?;
-    let mut usable = Usable::read(path)?;
+    let mut usable = Usable::read(path)?.with_fleet(fleet()?);
     if let Some(control) = control()? {
         usable = usable.with_control(control);
     }
+    let fleet = usable.fleet().clone();
     let service = Service::start(usable, state, inherited::door()?).await?;
     tracing::info!("listening on {}", service.local_addr());
-    spawn_local(reread(hangup, path.to_owned(), service.control()));
+    spawn_local(reread(hangup, path.to_owned(), fleet, service.control()));
     spawn_local(stop(terminate, service.control()));
     service.run().await;
     Ok(())
 }
 
+/// How senders act together, if the variable names a file of the operator's.
+fn fleet() -> Result<FleetFile, FleetFileError> {
+    let path = std::env::var_os("RELAY_FLEET").filter(|path| !path.is_empty());
+    path.map_or_else(|| Ok(FleetFile::default()), |path| FleetFile::read(Path::new(&path)))
+}
+
 /// Where operators call, if the variable says so.
 fn control() -> Result<Option<SocketAddr>, Error> {
     let Some(text) = std::env::var_os("RELAY_CONTROL").filter(|text| !text.is_empty()) else {
@@ -79,11 +88,16 @@
     text.parse().map(Some).map_err(|_| Error::Control(text))
 }
 
-/// On each SIGHUP the configuration is read again; its `discovery` is in force from then on.
-async fn reread(mut hangup: Signal, path: PathBuf, control: Control) {
+/// On each SIGHUP both files are read again, and nothing changes unless both can be used. The configuration's `discovery` is
+/// in force from then on, the fleet's file from the next start.
+async fn reread(mut hangup: Signal, path: PathBuf, in_force: FleetFile, control: Control) {
     while hangup.recv().await.is_some() {
-        match Usable::read(&path) {
-            Ok(usable) => {
+        let read = || Ok::<_, Error>((Usable::read(&path)?, fleet()?));
+        match read() {
+            Ok((usable, fleet)) => {
+                if fleet != in_force {
+                    tracing::info!(target: "fleet", "the fleet's file has changed: in force from the next start");
+                }
                 tracing::info!("configuration read again: discovery at {}", usable.discovery());
                 control.configure(&usable);
             }
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::event::List;
+use crate::fleet_file::FleetFile;
 
 /// Descriptors that are neither clients' nor receivers': files, the listener, discovery, the runtime's.
 const OTHER_SOCKETS: usize = 40;
@@ -63,6 +64,14 @@
         /// What went wrong.
         error: std::io::Error,
     },
+    /// What must outlast the process cannot be kept.
+    #[error("the folder {path} keeps nothing: {error}")]
+    State {
+        /// The folder.
+        path: PathBuf,
+        /// What went wrong.
+        error: std::io::Error,
+    },
     /// The address for clients cannot be had.
     #[error("cannot listen on {addr}: {error}")]
     Listen {
@@ -171,6 +180,7 @@
     pub(crate) config: Config,
     pub(crate) settings: Settings,
     pub(crate) names: Names,
+    pub(crate) fleet: FleetFile,
 }
 
 impl Usable {
@@ -205,7 +215,7 @@
         if config.limits.share() == 0 {
             return Err(StartError::FewSockets(config.limits.sockets));
         }
-        Ok(Self { config, settings, names })
+        Ok(Self { config, settings, names, fleet: FleetFile::default() })
     }
 
     /// Where operators call, whatever the file says.
@@ -215,6 +225,18 @@
         self
     }
 
+    /// How senders act together, as the operator's file has it.
+    #[must_use]
+    pub fn with_fleet(mut self, fleet: FleetFile) -> Self {
+        self.fleet = fleet;
+        self
+    }
+
+    /// What the operator's file says, as far as it is taken.
+    pub fn fleet(&self) -> &FleetFile {
+        &self.fleet
+    }
+
     /// Where discovery and the place for notices are.
     pub fn discovery(&self) -> SocketAddr {
         self.config.discovery
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -117,9 +117,27 @@
     pub shared_door: bool,
     /// Whether other senders will tell this one what they want.
     pub notes: bool,
+    /// Whether calls need turns.
+    pub rights: bool,
     pub inputs: mpsc::Receiver<Input>,
 }
 
+/// Turns as the module is told them: from now, whatever the wall clock has done since.
+fn turns(
+    all: Vec<(DestinationId, Option<RouteId>, Vec<rudderspindle_share::Turn>)>,
+) -> impl Iterator<Item = Event> {
+    let wall = journal::wall_ms() as Millis;
+    let turn = move |t: rudderspindle_share::Turn| Turn {
+        number: t.number,
+        from: t.from as Millis - wall,
+        until: t.until as Millis - wall,
+    };
+    all.into_iter().map(move |(destination, route, turns)| {
+        let turns = turns.into_iter().map(turn).collect();
+        Event::Turns { destination, route, turns }
+    })
+}
+
 impl Engine {
     /// An engine that has taken in the list, as last known and as fetched, and what its journal holds.
     ///
@@ -128,12 +146,15 @@
     /// [`SettingsError`] if the settings cannot work.
     pub fn new(parts: Parts, known: &List, fetched: Option<&List>) -> Result<Self, SettingsError> {
         let Parts { settings, names, seed, store, outbound, reports, .. } = parts;
-        let Parts { figures, neighbour, shared_door, notes, inputs, .. } = parts;
+        let Parts { figures, neighbour, shared_door, notes, rights, inputs, .. } = parts;
         let now = Instant::now();
         let mut sender = Sender::new(settings.clone(), seed)?;
         if notes {
             sender.hear_notes();
         }
+        if rights {
+            sender.keep_rights();
+        }
         let mut engine = Self {
             sender,
             zones: names.zones.clone(),
@@ -255,6 +276,7 @@
                     let room = |(destination, route, calls)| Event::Room { destination, route, calls, lasts };
                     events.extend(rooms.into_iter().map(room));
                 }
+                Input::Turns(all) => events.extend(turns(all)),
                 // Nobody may wait for it any more.
                 Input::Look(asker) => drop(asker.send(self.standing())),
                 Input::Stop => self.stop = self.stop.or(Some(now)),
@@ -830,6 +852,7 @@
             neighbour,
             shared_door: false,
             notes: false,
+            rights: false,
             inputs,
         };
         let member =
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -52,6 +52,8 @@
     Wants(oneshot::Sender<Vec<(Gate, Want)>>),
     /// What notes leave of limits to this sender, calls a second for each that is wanted, and for how long.
     Rooms(Vec<(DestinationId, Option<RouteId>, f64)>, Millis),
+    /// Where rights are kept: the turns at each limit that are this sender's, ms since 1970.
+    Turns(Vec<(DestinationId, Option<RouteId>, Vec<rudderspindle_share::Turn>)>),
     /// How does the engine stand?
     Look(oneshot::Sender<Standing>),
     /// SIGTERM.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -29,8 +29,10 @@
 mod engine;
 mod event;
 mod figures;
+mod fleet_file;
 mod handover;
 mod inbound;
+mod life;
 mod meter;
 mod operator;
 mod outbound;
@@ -42,5 +44,6 @@
 mod service;
 
 pub use config::{StartError, Usable};
+pub use fleet_file::{Bound, FleetFile, FleetFileError, Share};
 pub use pace::Pace;
 pub use service::{Control, Service};
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -1,12 +1,15 @@
 //! Notes between senders over datagrams. What they say and mean is `rudderspindle-share`'s.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::wall_ms;
-use rudderspindle_share::{Fleet, LONGEST_NOTE, Letter, Own, Ramp};
+use rudderspindle_share::{Fleet, Gate, Incarnation, LONGEST_NOTE, Letter, Own, Ramp, Rights};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
@@ -14,12 +17,16 @@
 use crate::config::Notes;
 use crate::event::Input;
 
-/// So few senders learn all they need from their own calls.
-pub(crate) const FEW: usize = 10;
 /// What notes say is relied on for so long, ms.
 const LASTS: Millis = 1_000.0;
 /// The log's target for notes that are dropped.
 const LOG: &str = "notes";
+/// The log's target for what senders know together.
+pub(crate) const FLEET: &str = "fleet";
+/// Where rights are kept each report goes in every second round: their notes have the room.
+const WITH_RIGHTS: u64 = 2;
+/// The first kind of note beyond those of [`Fleet`].
+const FURTHER: u8 = 0x70;
 
 /// How often a sender tries to have the address for its notes: a process that it takes over from has it till its end.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
@@ -29,13 +36,19 @@
 pub(crate) struct Peers {
     notes: Notes,
     fleet: Fleet,
+    /// The life that rights are kept in, where they are.
+    life: Option<Incarnation>,
+    rights: Option<Rights>,
+    /// The gates as last told by the host, and the part of each that is believed to be open.
+    gates: Vec<(Gate, DestinationId, Option<RouteId>, f64)>,
 }
 
 impl Peers {
-    /// A sender whose notes come and go as told, and whose partners return from an outage like that.
-    pub(crate) fn new(notes: Notes, ramp: Ramp) -> Self {
+    /// A sender whose notes come and go as told, and whose partners return from an outage like that; with rights if they
+    /// are to be kept in such a life.
+    pub(crate) fn new(notes: Notes, ramp: Ramp, life: Option<Incarnation>) -> Self {
         let fleet = Fleet::new(notes.me, notes.peers.len(), ramp);
-        Self { notes, fleet }
+        Self { notes, fleet, life, rights: None, gates: Vec::new() }
     }
 
     /// Tells and hears, until the host is gone.
@@ -62,25 +75,36 @@
     async fn converse(mut self, socket: UdpSocket, host: mpsc::Sender<Input>) {
         let numbers: HashMap<SocketAddr, usize> =
             self.notes.peers.iter().enumerate().map(|(number, addr)| (*addr, number)).collect();
+        // Who has the address is alone with this number: an earlier process has ended.
+        let (me, senders, wall) = (self.notes.me, self.notes.peers.len(), wall_ms());
+        self.rights = self.life.map(|life| Rights::new(me, senders, life, wall));
         // One byte more than a note may have tells one that is too long.
         let mut buffer = [0; LONGEST_NOTE + 1];
-        let mut report_at = self.fleet.next_report(wall_ms());
+        let (mut report_at, mut offer_at) = (self.next_report(wall), self.next_offer(wall));
         loop {
-            let next = self.fleet.next_sums().map_or(report_at, |sums_at| sums_at.min(report_at));
+            let dealing = self.rights.as_ref().and_then(Rights::next_deal);
+            let due = [Some(report_at), self.fleet.next_sums(), dealing, offer_at];
+            let next = due.into_iter().flatten().min().unwrap_or(report_at);
             tokio::select! {
                 heard = socket.recv_from(&mut buffer) => {
                     let Ok((length, from)) = heard else { continue };
                     let from = numbers.get(&from).copied().unwrap_or(usize::MAX);
-                    if let Err(error) = self.fleet.hear(wall_ms(), from, &buffer[..length]) {
-                        tracing::debug!(target: LOG, from, "dropped: {error}");
+                    if self.hear(from, &buffer[..length]) && !self.tell_turns(&host).await {
+                        return;
                     }
                 }
                 () = sleep(Duration::from_millis(next.saturating_sub(wall_ms()))) => {
                     let mut letters = self.fleet.sums(wall_ms());
+                    letters.extend(self.rights.iter_mut().flat_map(|rights| rights.deal(wall_ms())));
                     if wall_ms() >= report_at {
                         let Some(report) = self.report(&host).await else { return };
                         letters.extend(report);
-                        report_at = self.fleet.next_report(wall_ms());
+                        report_at = self.next_report(wall_ms());
+                    }
+                    if offer_at.is_some_and(|at| wall_ms() >= at) {
+                        let Some(offer) = self.offer(&host).await else { return };
+                        letters.extend(offer);
+                        offer_at = self.next_offer(wall_ms());
                     }
                     for (to, note) in letters {
                         // One that cannot go now is as good as lost on its way.
@@ -91,8 +115,34 @@
         }
     }
 
-    /// What to tell of this sender; its host hears what there is for it. Nothing once that is gone.
-    async fn report(&mut self, host: &mpsc::Sender<Input>) -> Option<Vec<Letter>> {
+    fn next_report(&self, wall: u64) -> u64 {
+        let next = self.fleet.next_report(wall);
+        let pairs = rudderspindle_share::ROUND * WITH_RIGHTS;
+        let skipped = self.rights.is_some() && next % pairs >= rudderspindle_share::ROUND;
+        if skipped { next + rudderspindle_share::ROUND } else { next }
+    }
+
+    fn next_offer(&self, wall: u64) -> Option<u64> {
+        self.rights.as_ref().map(|rights| rights.next_offer(wall))
+    }
+
+    /// Takes in a datagram; whether there may be other turns now.
+    fn hear(&mut self, from: usize, note: &[u8]) -> bool {
+        let further = note.first().is_some_and(|kind| *kind >= FURTHER);
+        let heard = match self.rights.as_mut().filter(|_| further) {
+            Some(rights) => rights.hear(wall_ms(), from, note).map_err(|error| error.to_string()),
+            None => {
+                let heard = self.fleet.hear(wall_ms(), from, note);
+                heard.map(|()| false).map_err(|error| error.to_string())
+            }
+        };
+        heard.unwrap_or_else(|error| {
+            tracing::debug!(target: LOG, from, "dropped: {error}");
+            false
+        })
+    }
+
+    async fn wants(&mut self, host: &mpsc::Sender<Input>) -> Option<(Vec<(Gate, Want)>, Vec<Own>)> {
         let (asker, wants) = oneshot::channel();
         host.send(Input::Wants(asker)).await.ok()?;
         let wants = wants.await.ok()?;
@@ -100,8 +150,19 @@
             let Want { limit, wanted, called, refused, failed, .. } = *want;
             Own { gate: *gate, limit, wanted, called, refused, failed }
         });
-        let letters = self.fleet.report(wall_ms(), &own.collect::<Vec<_>>());
-        let Some(rooms) = self.fleet.rooms(wall_ms()) else { return Some(letters) };
+        let own = own.collect();
+        Some((wants, own))
+    }
+
+    /// What to tell of this sender; its host hears what there is for it. Nothing once that is gone.
+    async fn report(&mut self, host: &mpsc::Sender<Input>) -> Option<Vec<Letter>> {
+        let (wants, own) = self.wants(host).await?;
+        let letters = self.fleet.report(wall_ms(), &own);
+        let rooms = self.fleet.rooms(wall_ms());
+        let open = |gate, limit| if rooms.is_some() { self.fleet.open(gate, limit) } else { 1.0 };
+        let of = |(gate, want): &(Gate, Want)| (*gate, want.destination, want.route, open(*gate, want.limit));
+        self.gates = wants.iter().map(of).collect();
+        let Some(rooms) = rooms else { return Some(letters) };
         let near: HashMap<_, _> = rooms.iter().copied().collect();
         let room = |(gate, want): &(_, Want)| {
             (want.destination, want.route, near.get(gate).copied().unwrap_or(f64::INFINITY))
@@ -109,89 +170,20 @@
         host.send(Input::Rooms(wants.iter().map(room).collect(), LASTS)).await.ok()?;
         Some(letters)
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use std::cell::Cell;
-
-    use rudderspindle_share::Gate;
-    use tokio::task::{LocalSet, spawn_local};
-    use tokio::time::timeout;
-
-    use super::*;
-
-    const LIMIT: f64 = 60.0;
-
-    fn want(wanted: f64) -> (Gate, Want) {
-        let destination = DestinationId(7);
-        let want = Want { destination, route: None, limit: LIMIT, wanted, called: 0, refused: 0, failed: 0 };
-        (Gate::of(7, None), want)
-    }
-
-    /// Three senders on loopback; the second field of each is what its host hears.
-    async fn three() -> Vec<(SocketAddr, mpsc::Receiver<Input>)> {
-        let mut sockets = Vec::new();
-        for _ in 0..3 {
-            sockets.push(UdpSocket::bind("127.0.0.1:0").await.expect("a port"));
-        }
-        let peers: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().expect("an address")).collect();
-        let start = |(me, socket): (usize, UdpSocket)| {
-            let (listen, peers) = (peers[me], peers.clone());
-            let (host, inputs) = mpsc::channel(16);
-            spawn_local(
-                Peers::new(Notes { me, listen, peers }, Ramp { start: 0.3, growth: 0.1 })
-                    .converse(socket, host),
-            );
-            (listen, inputs)
-        };
-        sockets.into_iter().enumerate().map(start).collect()
-    }
-
-    /// Answers for its sender until all three have heard of less room than they would need; what this one heard.
-    async fn host(inputs: &mut mpsc::Receiver<Input>, wanted: f64, heard: &Cell<usize>) -> f64 {
-        let mut room = None;
-        // One that had heard and was silent from then on would leave the last one alone.
-        while heard.get() < 3 {
-            match timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input") {
-                Input::Wants(asker) => drop(asker.send(vec![want(wanted)])),
-                Input::Rooms(rooms, _) => {
-                    if let Some((.., calls)) = rooms.first().filter(|room| room.2 < 0.9)
-                        && room.replace(*calls).is_none()
-                    {
-                        heard.set(heard.get() + 1);
-                    }
-                }
-                other => panic!("{other:?}"),
-            }
-        }
-        room.expect("it has heard, too")
+    /// What to offer of this sender's rights; its host hears its turns first. Nothing once that is gone.
+    async fn offer(&mut self, host: &mpsc::Sender<Input>) -> Option<Option<Letter>> {
+        let (_, own) = self.wants(host).await?;
+        let letter = self.rights.as_mut().and_then(|rights| rights.offer(wall_ms(), &own));
+        self.tell_turns(host).await.then_some(letter)
     }
 
-    /// Together they want two and a half times what there is, which none of them could know alone. What strangers and
-    /// broken senders throw at them changes nothing.
-    #[tokio::test]
-    async fn three_senders_learn_from_one_another_how_much_there_is_for_each() {
-        let test = async {
-            let mut senders = three().await;
-            let stranger = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
-            for (addr, _) in &senders {
-                for junk in [&b""[..], b"a", &[0x61; 256], &[0x62; 300]] {
-                    stranger.send_to(junk, addr).await.expect("sent");
-                }
-            }
-            let [a, b, c] = &mut senders[..] else { panic!("three") };
-            let heard = Cell::new(0);
-            let rooms = tokio::join!(
-                host(&mut a.1, 50.0, &heard),
-                host(&mut b.1, 50.0, &heard),
-                host(&mut c.1, 50.0, &heard)
-            );
-            for room in [rooms.0, rooms.1, rooms.2] {
-                // All three may not be in the first sums; a figure is within a twentieth.
-                assert!((LIMIT / 150.0 * 0.85..=LIMIT / 50.0 * 0.9).contains(&room), "{room}");
-            }
-        };
-        LocalSet::new().run_until(test).await;
+    /// The host hears the turns that it may use; `false` once it is gone.
+    async fn tell_turns(&self, host: &mpsc::Sender<Input>) -> bool {
+        let Some(rights) = &self.rights else { return true };
+        let wall = wall_ms();
+        let turns =
+            |&(gate, destination, route, open): &_| (destination, route, rights.turns(wall, gate, open));
+        host.send(Input::Turns(self.gates.iter().map(turns).collect())).await.is_ok()
     }
 }
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rudderspindle_journal::Store;
+use rudderspindle_journal::{Store, wall_ms};
 use rudderspindle_share::Ramp;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -19,10 +19,11 @@
 use crate::figures::Figures;
 use crate::handover::{self, Neighbour, Told};
 use crate::inbound::{self, Inbound};
+use crate::life;
 use crate::operator::Operator;
 use crate::outbound::Outbound;
 use crate::pace::Pace;
-use crate::peers::{self, Peers};
+use crate::peers::{FLEET, Peers};
 use crate::reports::Reports;
 
 /// Inputs that may wait for the engine.
@@ -64,7 +65,7 @@
         state: &Path,
         door: Option<std::net::TcpListener>,
     ) -> Result<Self, StartError> {
-        let Usable { config, settings, names } = usable;
+        let Usable { config, settings, names, fleet } = usable;
         // First of all: who cannot listen leaves the folder alone.
         let shared_door = door.is_some();
         let listener = clients(door, config.listen).await?;
@@ -74,7 +75,8 @@
             Some(addr) => Some(bind(addr).await?),
             None => None,
         };
-        let notes = config.notes().filter(|notes| notes.peers.len() > peers::FEW);
+        let notes = config.notes().filter(|notes| notes.peers.len() >= fleet.share().from());
+        let strict = fleet.share().is_strict() && notes.is_some();
         let share = config.limits.share();
         let budget = (config.limits.disk_mb.max(0.0) * 1_000_000.0) as u64;
         let mut store = Store::open(state, budget)
@@ -108,6 +110,7 @@
             neighbour: neighbour.clone(),
             shared_door,
             notes: notes.is_some(),
+            rights: strict,
             inputs,
         };
         // What the journal holds is taken up before the first client is heard.
@@ -134,7 +137,14 @@
         });
         spawn_local(async move { outbound.sweep().await });
         if let Some(notes) = notes {
-            spawn_local(Peers::new(notes, ramp).run(to_engine.clone()));
+            let life = if strict {
+                let life = life::begin(state, wall_ms());
+                Some(life.map_err(|error| StartError::State { path: state.to_owned(), error })?)
+            } else {
+                None
+            };
+            tracing::info!(target: FLEET, senders = notes.peers.len(), strict, "limits are shared by notes");
+            spawn_local(Peers::new(notes, ramp, life).run(to_engine.clone()));
         }
         let limits = inbound::Limits { sockets: share, body_bytes: config.limits.body_bytes() };
         let inbound =
