rights: a clock that was set back does not bring back what was given up

A clock set back over a round's beginning began everything anew from the earlier round: a sender that had given up turns of the later round's term held them again as its own, offered twice for one round, and a dealer could deal a round twice. Now it begins from the round that it had come to, unless that is more than a minute ahead (the life of a note). A clock that goes back by less than 50 ms, or before anything else is looked at, no longer finds given-up turns of a term whose note was dropped. Tests of what rights refuse; rounds and terms in a file of their own; states are comparable.

--- a/crates/share/src/rights.rs
+++ b/crates/share/src/rights.rs
@@ -1,6 +1,6 @@
 //! Rights to call: a bound on what all senders together start at a limit, whoever hears nothing, for however long.
 //!
-//! Invariant: each turn of a limit may be used by one process at the most, within [`VALID`] of its beginning.
+//! Invariant: each turn of a limit may be used by one process at the most, within [`VALID`](rounds::VALID) of its beginning.
 //!
 //! A limit is dealt out as turns ([`Schedule`](schedule::Schedule)), each with one owner, by the shared clock alone. In
 //! each round a sender gives up the turns of the round's term that it will not need, to one other that deals them out
@@ -12,12 +12,14 @@
 mod dealers;
 mod held;
 mod note;
+#[cfg(test)]
+mod refusals;
+mod rounds;
 mod schedule;
 #[cfg(test)]
 mod tests;
 
 use std::collections::BTreeMap;
-use std::ops::Range;
 
 use crate::envelope::EnvelopeError;
 use crate::fleet::{Letter, Own};
@@ -27,26 +29,10 @@
 use dealers::Dealers;
 use held::Held;
 use note::{Grant, MOST_GATES, MOST_TURNS, Offer, OfferEntry, RightsNote};
+pub use rounds::ROUND;
+use rounds::{BACK, NOTE_LIVES, OFFERING, term};
 use schedule::Schedule;
 
-/// Length of a round, ms.
-pub const ROUND: u64 = 500;
-/// Offers go out within this part of a round, each sender's at a moment of its own, ms: what was lent in the last round
-/// has come by then, and the last offers still arrive.
-const OFFERING: Range<u64> = 100..400;
-/// After a round's end so much is left for the way of what is lent before its term begins, ms.
-const LEAD: u64 = 150;
-/// How long a turn may be used, ms: longer than a sender takes from one look at what waits to the next.
-const VALID: u64 = 100;
-/// A clock that goes back by more than this has been set, ms.
-const BACK: u64 = 50;
-
-/// The time whose turns are dealt out in a round, ms since 1970: before it all have heard what they are lent.
-fn term(round: u64) -> Range<u64> {
-    let begins = (round + 1) * ROUND + LEAD;
-    begins..begins + ROUND
-}
-
 /// A right to start one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Turn {
@@ -74,7 +60,7 @@
 }
 
 /// One sender's rights. They begin anew with each process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Rights {
     me: usize,
     senders: usize,
@@ -120,10 +106,14 @@
         self.dealer.next().map(|round| (round + 1) * ROUND)
     }
 
-    /// A clock that was set back begins everything anew: what was given up in its terms is not known by their names.
+    /// A clock that was set back begins everything anew, from the round to which it had come: until then turns were
+    /// given up and dealt out, and notes on them may still be heard.
     fn look(&mut self, wall: u64) {
         if wall + BACK < self.last {
-            *self = Self::new(self.me, self.senders, self.incarnation, wall);
+            let (round, reached) = (wall / ROUND, self.offered.max(self.last / ROUND));
+            let begins = if reached > round + NOTE_LIVES { round } else { reached };
+            *self = Self::new(self.me, self.senders, self.incarnation, begins * ROUND);
+            self.last = wall;
         }
         self.last = self.last.max(wall);
     }
@@ -132,12 +122,14 @@
     pub fn offer(&mut self, wall: u64, own: &[Own]) -> Option<Letter> {
         self.look(wall);
         let round = wall / ROUND;
+        // Of what was given up before, where the clock was set back, a gate knows nothing.
+        let begins = round.max(self.offered);
         self.gates.retain(|gate, _| own.iter().any(|o| o.gate == *gate));
         for o in own {
             let schedule = Schedule::new(o.gate, o.limit, self.senders);
-            let held = self.gates.entry(o.gate).or_insert_with(|| Held::new(schedule, round));
+            let held = self.gates.entry(o.gate).or_insert_with(|| Held::new(schedule, begins));
             if held.schedule != schedule {
-                *held = Held::new(schedule, round);
+                *held = Held::new(schedule, begins);
             }
             held.forget(wall);
         }
@@ -235,7 +227,10 @@
     /// The turns at a gate that this sender may still use. `open` is the part of the limit that the partner is believed
     /// to take, from 0 to 1: as many turns are left out, the same at every sender.
     pub fn turns(&self, wall: u64, gate: Gate, open: f64) -> Vec<Turn> {
-        let Some(held) = self.gates.get(&gate) else { return Vec::new() };
+        // What was given up is no longer in mind for a time long over.
+        let Some(held) = self.gates.get(&gate).filter(|_| wall + BACK >= self.last) else {
+            return Vec::new();
+        };
         let passes = |turn: &Turn| {
             let draw = crc32fast::hash(&[turn.number, u64::from(gate.0)].map(u64::to_le_bytes).concat());
             f64::from(draw) < open * f64::from(u32::MAX)
--- a/crates/share/src/rights/dealer.rs
+++ b/crates/share/src/rights/dealer.rs
@@ -5,15 +5,15 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::note::{Grant, GrantEntry, MOST_GATES, MOST_TURNS, Offer, OfferEntry, RightsNote};
+use super::rounds::term;
 use super::schedule::Schedule;
-use super::term;
 use crate::gate::Gate;
 
 /// What came for one round: from each sender its first offer.
 type Offers = BTreeMap<usize, Offer>;
 
 /// One sender as the dealer of some rounds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Dealer {
     /// Rounds up to this one are over: dealt, or some process of ours may have dealt them.
     closed: u64,
--- a/crates/share/src/rights/dealers.rs
+++ b/crates/share/src/rights/dealers.rs
@@ -9,7 +9,7 @@
 const LOOK_ROUND: u64 = 4;
 
 /// The senders that may deal: up to 64 are drawn, the same everywhere.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Dealers {
     drawn: Vec<usize>,
     /// The last round in which somebody said that it had heard of it.
--- a/crates/share/src/rights/held.rs
+++ b/crates/share/src/rights/held.rs
@@ -4,14 +4,15 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use super::Turn;
 use super::note::{GrantEntry, MOST_TURNS};
+use super::rounds::{BACK, LEAD, ROUND, VALID, term};
 use super::schedule::Schedule;
-use super::{LEAD, ROUND, Turn, VALID, term};
 
 /// Turns that are lent to one sender at one gate at a time, at most: of the terms that are not over.
 const MOST_LENT: usize = 3 * MOST_TURNS as usize;
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Held {
     pub schedule: Schedule,
     /// No turn of its own counts before this, ms since 1970: an earlier process may have given it up, or used it.
@@ -53,9 +54,9 @@
         }
     }
 
-    /// Drops what is over.
+    /// Drops what is over, also by a clock that goes back a little.
     pub fn forget(&mut self, now: u64) {
-        self.kept.retain(|round, _| term(*round).end + VALID > now);
+        self.kept.retain(|round, _| term(*round).end + VALID + BACK > now);
         let schedule = self.schedule;
         self.lent.retain(|&turn| schedule.begins(turn) + VALID > now);
     }
--- a/crates/share/src/rights/note.rs
+++ b/crates/share/src/rights/note.rs
@@ -12,7 +12,7 @@
 const MOST_GAPS: usize = MOST_TURNS as usize;
 
 /// One sender's offer for a round: what it gives up of its own turns, and what it wants of others'.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct Offer {
     pub round: u64,
     pub incarnation: Incarnation,
@@ -21,7 +21,7 @@
 }
 
 /// At one gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub(crate) struct OfferEntry {
     pub gate: u32,
     /// Of the schedule that it speaks of.
--- a/crates/share/src/rights/schedule.rs
+++ b/crates/share/src/rights/schedule.rs
@@ -10,7 +10,7 @@
 const STEPS: (f64, f64) = (8.0, 3.6e9);
 
 /// Turn `k` begins `k` steps after 1970 and belongs to one of so many senders, each in its turn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Schedule {
     step: u64,
     senders: u64,
--- a/crates/share/src/rights/tests.rs
+++ b/crates/share/src/rights/tests.rs
@@ -2,6 +2,7 @@
 
 use proptest::prelude::*;
 
+use super::rounds::VALID;
 use super::*;
 
 /// Chance from a seed, for tests.
