--- a/crates/share/src/rights.rs
+++ b/crates/share/src/rights.rs
@@ -10,6 +10,8 @@
 
 mod dealer;
 mod dealers;
+#[cfg(test)]
+mod exhaustive;
 mod held;
 mod note;
 #[cfg(test)]
