--- a/crates/share/src/rights/exhaustive.rs
+++ b/crates/share/src/rights/exhaustive.rs
@@ -94,7 +94,8 @@
     /// One gives up all, the other two want all, each in its turn.
     fn offer(&mut self, n: usize) {
         let clock = self.clock(n);
-        let wanted = if (clock / ROUND) as usize % SENDERS == n { 0.0 } else { 30.0 };
+        // By the true time: whoever was set back wants another number in the same round.
+        let wanted = if (self.wall / ROUND) as usize % SENDERS == n { 0.0 } else { 30.0 };
         let own = Own { gate: GATE, limit: LIMIT, wanted, called: 0, refused: 0, failed: 0 };
         let letter = self.rights[n].as_mut().and_then(|rights| rights.offer(clock, &[own]));
         self.wire.extend(letter.map(|(to, note)| (n, to, note)));
--- a/crates/share/src/rights/refusals.rs
+++ b/crates/share/src/rights/refusals.rs
@@ -63,9 +63,29 @@
     let over = term(round).end + VALID;
     rights.offer(over - ROUND, &own(1_000.0));
     rights.offer(over, &own(1_000.0));
+    let given_up = |turn: &Turn| term(round).contains(&turn.from);
     for back in [0, 10, BACK, BACK + 1, 200, 400] {
-        let turns = rights.turns(over - back, GATE, 1.0);
-        assert!(turns.iter().all(|turn| !term(round).contains(&turn.from)), "{back}");
+        assert!(!rights.turns(over - back, GATE, 1.0).iter().any(given_up), "{back}");
+    }
+    rights.offer(over + ROUND, &own(1_000.0));
+    for back in (0..2 * ROUND).step_by(10) {
+        assert!(!rights.turns(over + ROUND - back, GATE, 1.0).iter().any(given_up), "{back}");
+    }
+}
+
+#[test]
+fn a_dealer_deals_no_round_again_whose_clock_goes_back_a_little_or_is_set_back() {
+    for back in [20, 300] {
+        let (mut rights, round) = settled();
+        let offer = |from: u64| {
+            let offer = Offer { round, incarnation: Incarnation(from), entries: Vec::new() };
+            RightsNote::Offer(offer).encode().expect("short")
+        };
+        assert_eq!(rights.hear(round * ROUND + 400, 1, &offer(1)), Ok(false));
+        let over = (round + 1) * ROUND + 10;
+        assert_eq!(rights.deal(over).len(), 1);
+        assert_eq!(rights.hear(over - back, 1, &offer(2)), Err(RightsError::Round));
+        assert_eq!(rights.deal(over), []);
     }
 }
 
