model: strict mode with turns, clocks apart, a sender that is gone; shares under a lease to compare

The bound on what all senders start is checked with the real decision modules and the real rights, over any span of a scene.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,6 +5,7 @@
 //! partner. The seed decides all that chance decides. No I/O, no clock, nothing that ships depends on it.
 #![forbid(unsafe_code)]
 
+pub mod leased;
 pub mod lists;
 pub mod partner;
 pub mod parts;
--- a/crates/model/src/partner.rs
+++ b/crates/model/src/partner.rs
@@ -12,12 +12,13 @@
 
 pub use draw::Draw;
 pub use play::play;
-pub use scene::{Limit, Notes, Outage, Scene};
+pub use scene::{Bound, Limit, Notes, Outage, Scene};
 pub use seen::Seen;
 
 use crate::parts::{class, entry, list, settings};
 
-const TICK: Millis = 5.0;
+/// A scene goes on by so much at a time, ms.
+pub const TICK: Millis = 5.0;
 const WARM_WITHIN: Millis = 9_300.0;
 const COLD_FROM: f64 = 0.17;
 const FALL_MULTIPLE: f64 = 2.5;
@@ -29,6 +30,15 @@
 /// How long a message may be delivered, ms.
 const DEADLINE: Millis = 12_000.0;
 
+/// The most calls that strict senders start within a span of so many ms at a limit of so many a second, where their
+/// clocks are so far apart at most.
+pub fn most_by_rights(limit: f64, span: Millis, clocks: u64) -> f64 {
+    // The part of a limit that is given out as turns, and how long each may be used.
+    const GIVEN: f64 = 0.95;
+    const VALID: Millis = 100.0;
+    GIVEN * limit * (span + VALID + 2.0 * clocks as f64 + TICK) / 1_000.0 + 1.0
+}
+
 /// The settings of each sender.
 pub fn config(scene: &Scene) -> Settings {
     let keyed = Effect::Keyed { group: KeyGroup::Zone, window: 15_000.0 };
--- a/crates/model/src/partner/client.rs
+++ b/crates/model/src/partner/client.rs
@@ -4,11 +4,17 @@
 
 use rudderspindle_decide::Sender;
 use rudderspindle_decide::interface::*;
-use rudderspindle_share::{Fleet, Gate, Own};
+use rudderspindle_share::{Fleet, Gate, Letter, Own, Rights, RightsError};
 
 pub(super) struct Client {
     pub sender: Sender,
     pub fleet: Fleet,
+    /// Where each call needs a turn.
+    pub rights: Option<Rights>,
+    /// How far its clock is ahead, ms.
+    pub ahead: u64,
+    /// Whether its process runs.
+    pub up: bool,
     pub events: Vec<Event>,
     pub wake: Option<(Millis, u64)>,
     /// Messages that have no end yet: class, when they were handed in, attempts.
@@ -18,16 +24,23 @@
     pub starts: u64,
 }
 
+fn gate(want: &Want) -> Gate {
+    Gate::of(want.destination.0, want.route.map(|r| r.0.to_string()).as_deref())
+}
+
+fn own(wants: &[Want]) -> Vec<Own> {
+    let own = |want: &Want| {
+        let Want { limit, wanted, called, refused, failed, .. } = *want;
+        Own { gate: gate(want), limit, wanted, called, refused, failed }
+    };
+    wants.iter().map(own).collect()
+}
+
 impl Client {
-    /// What its host does once a round.
-    pub fn report(&mut self, wall: u64) -> Vec<(usize, Vec<u8>)> {
+    /// What its host does once a round of sums.
+    pub fn report(&mut self, wall: u64) -> Vec<Letter> {
         let wants = self.sender.wants();
-        let gate = |want: &Want| Gate::of(want.destination.0, want.route.map(|r| r.0.to_string()).as_deref());
-        let own = |want: &Want| {
-            let Want { limit, wanted, called, refused, failed, .. } = *want;
-            Own { gate: gate(want), limit, wanted, called, refused, failed }
-        };
-        let letters = self.fleet.report(wall, &wants.iter().map(own).collect::<Vec<_>>());
+        let letters = self.fleet.report(wall, &own(&wants));
         if let Some(rooms) = self.fleet.rooms(wall) {
             for want in &wants {
                 let room = rooms.iter().find(|(named, _)| *named == gate(want));
@@ -38,4 +51,41 @@
         }
         letters
     }
+
+    /// What its host does for its rights, `tick` ms after it last did.
+    pub fn keep_rights(&mut self, wall: u64, tick: u64) -> Vec<Letter> {
+        let Some(rights) = &mut self.rights else { return Vec::new() };
+        let deals = rights.next_deal().is_some_and(|at| at <= wall);
+        let mut letters = if deals { rights.deal(wall) } else { Vec::new() };
+        let offers = rights.next_offer(wall - tick) <= wall;
+        if offers {
+            letters.extend(rights.offer(wall, &own(&self.sender.wants())));
+        }
+        if deals || offers {
+            self.tell_turns(wall);
+        }
+        letters
+    }
+
+    /// Takes in a note on rights.
+    pub fn hear_rights(&mut self, wall: u64, from: usize, note: &[u8]) -> Result<(), RightsError> {
+        if self.rights.as_mut().map_or(Ok(false), |rights| rights.hear(wall, from, note))? {
+            self.tell_turns(wall);
+        }
+        Ok(())
+    }
+
+    fn tell_turns(&mut self, wall: u64) {
+        let Some(rights) = &self.rights else { return };
+        let from_now = |at: u64| at as f64 - wall as f64;
+        for want in &self.sender.wants() {
+            let turns = rights.turns(wall, gate(want), 1.0).into_iter().map(|turn| Turn {
+                number: turn.number,
+                from: from_now(turn.from),
+                until: from_now(turn.until),
+            });
+            let (destination, route) = (want.destination, want.route);
+            self.events.push(Event::Turns { destination, route, turns: turns.collect() });
+        }
+    }
 }
--- a/crates/model/src/partner/play.rs
+++ b/crates/model/src/partner/play.rs
@@ -4,11 +4,12 @@
 
 use rudderspindle_decide::Sender;
 use rudderspindle_decide::interface::*;
-use rudderspindle_share::{Fleet, Ramp};
+use rudderspindle_share::{Fleet, Incarnation, Ramp, Rights};
 
 use super::client::Client;
 use super::limit::Counter;
-use super::post::Post;
+use super::post::{Post, wall};
+use super::scene::Bound;
 use super::{AIM, DEADLINE, Draw, LATE_WORTH, Scene, Seen, TICK, WARM_WITHIN, WORTH};
 use super::{aged, config, handed_in, listed};
 use crate::parts::outcome;
@@ -46,8 +47,8 @@
         scene,
         now: 0.0,
         draw: Draw::new(scene.seed),
-        clients: (0..scene.senders).map(|n| fresh(scene, n, 0)).collect(),
-        post: Post { draw: Draw::new(scene.seed ^ 0x9057), letters: Vec::new() },
+        clients: (0..scene.senders).map(|n| fresh(scene, n, 0, 0.0)).collect(),
+        post: Post::new(scene.seed ^ 0x9057),
         due: Vec::new(),
         counter: Counter::default(),
         recent: VecDeque::new(),
@@ -70,7 +71,7 @@
     play.seen
 }
 
-fn fresh(scene: &Scene, n: usize, starts: u64) -> Client {
+fn fresh(scene: &Scene, n: usize, starts: u64, now: Millis) -> Client {
     let seed = scene.seed * 64 + n as u64 * 8 + starts;
     let settings = config(scene);
     let (start, later) = (settings.ramp(0.0), settings.ramp(1_000.0));
@@ -78,9 +79,18 @@
     if scene.notes.is_some() {
         sender.hear_notes();
     }
+    let strict = scene.notes.is_some() && scene.bound == Bound::Strict;
+    if strict {
+        sender.keep_rights();
+    }
+    let ahead = (scene.clocks as f64 * Draw::new(scene.seed ^ (0xc10c + n as u64)).unit()).round() as u64;
+    let rights = || Rights::new(n, scene.senders, Incarnation(starts + 1), wall(now, ahead));
     Client {
         sender,
         fleet: Fleet::new(n, scene.senders, Ramp { start, growth: later - start }),
+        rights: strict.then(rights),
+        ahead,
+        up: true,
         events: vec![listed(scene, 0..scene.routes)],
         wake: None,
         open: BTreeMap::new(),
@@ -90,12 +100,15 @@
 }
 
 impl Play<'_> {
-    /// A sender begins anew, or the list grows.
+    /// A sender ends or begins anew, or the list grows.
     fn change(&mut self) {
         let now = self.now;
-        if let Some((who, _)) = self.restart.take_if(|r| r.1 <= now) {
+        if let Some((who, _)) = self.restart.filter(|r| r.1 <= now) {
+            self.clients[who].up = false;
+        }
+        if let Some((who, _)) = self.restart.take_if(|r| r.1 + self.scene.gone <= now) {
             let (open, memories) = (self.clients[who].open.clone(), self.clients[who].memories.clone());
-            let mut client = fresh(self.scene, who, self.clients[who].starts + 1);
+            let mut client = fresh(self.scene, who, self.clients[who].starts + 1, now);
             for (&route, &(at, trouble)) in &memories {
                 let (trouble, destination) = (aged(trouble, now - at), DestinationId(0));
                 client.events.push(Event::Remembered { destination, route, trouble });
@@ -123,6 +136,7 @@
             let times = if scene.swell.1.contains(&now) { scene.swell.0 } else { 1.0 };
             self.next_message += self.draw.exponential(1_000.0 / (times * scene.load * scene.told));
             let to = (self.draw.unit() * scene.busy as f64) as usize;
+            let to = if self.clients[to].up { to } else { (to + 1) % scene.senders };
             let class = usize::from(self.draw.unit() < 0.44);
             let id = self.next_id;
             self.clients[to].events.push(Event::Message(handed_in(id, class, DEADLINE)));
@@ -138,7 +152,7 @@
         let later = self.due.partition_point(|d| d.at <= now);
         for d in self.due.drain(..later) {
             let client = &mut self.clients[d.client];
-            if client.starts != d.starts {
+            if client.starts != d.starts || !client.up {
                 continue;
             }
             if let (true, Event::Outcome { id, .. }) = (d.delivers, &d.event)
@@ -157,6 +171,9 @@
         let now = self.now;
         for n in 0..self.clients.len() {
             let client = &mut self.clients[n];
+            if !client.up {
+                continue;
+            }
             if let Some((_, token)) = client.wake.take_if(|w| w.0 <= now) {
                 client.events.push(Event::Wake(token));
             }
@@ -182,6 +199,7 @@
                 entry.2 += 1;
                 let starts = client.starts;
                 let on = (scene.from..scene.until).contains(&now) && scene.struck.contains(&(route.0 - 1));
+                self.seen.starts.push(now);
                 self.seen.trials += usize::from(on);
                 if now >= scene.until && now < scene.until + WARM_WITHIN {
                     self.seen.push(&mut self.recent, now - scene.until, scene.told);
--- a/crates/model/src/partner/scene.rs
+++ b/crates/model/src/partner/scene.rs
@@ -52,6 +52,16 @@
     pub cut: std::ops::Range<Millis>,
 }
 
+/// What holds a fleet that hears notes to a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Bound {
+    /// What notes leave to each.
+    #[default]
+    Use,
+    /// Each call needs a turn as well, and a turn is one sender's.
+    Strict,
+}
+
 /// An evening at one partner.
 #[derive(Clone, Debug)]
 pub struct Scene {
@@ -85,10 +95,16 @@
     pub swell: (f64, std::ops::Range<Millis>),
     /// Notes between the senders; none where they have none.
     pub notes: Option<Notes>,
+    /// What holds those that have notes to the limit.
+    pub bound: Bound,
+    /// How far the senders' clocks are apart at most, ms.
+    pub clocks: u64,
     /// Mean time that a call takes, ms.
     pub work: Millis,
     /// A sender that begins anew then, and has forgotten all but its messages.
     pub restart: Option<(usize, Millis)>,
+    /// So long after its end, ms; what would be handed to it goes to the next one meanwhile.
+    pub gone: Millis,
     /// Routes that the list adds then, under new ids.
     pub added: Option<(u64, Millis)>,
     /// The scene's end, ms; messages come until 4 s before.
@@ -118,8 +134,11 @@
             load: 0.45 + 0.5 * draw.unit(),
             swell: (1.0, 0.0..0.0),
             notes: None,
+            bound: Bound::Use,
+            clocks: 0,
             work: 60.0 + 240.0 * draw.unit(),
             restart: None,
+            gone: 0.0,
             added: None,
             ends: until + 14_000.0,
         }
--- a/crates/model/src/partner/seen.rs
+++ b/crates/model/src/partner/seen.rs
@@ -35,9 +35,28 @@
     pub came: Vec<(Millis, usize, u64)>,
     /// Bytes of the notes that arrived.
     pub note_bytes: usize,
+    /// When each call of the scene started, ms.
+    pub starts: Vec<Millis>,
 }
 
 impl Seen {
+    /// The most calls that started within any span of so many ms.
+    pub fn most_within(&self, span: Millis) -> usize {
+        let before = |n: usize| self.starts.partition_point(|at| *at <= self.starts[n] - span);
+        (0..self.starts.len()).map(|n| n + 1 - before(n)).max().unwrap_or(0)
+    }
+
+    /// The most calls that started within any second.
+    pub fn most_in_second(&self) -> usize {
+        self.most_within(1_000.0)
+    }
+
+    /// The most calls that started within a second as a partner counts them, from its clock's beat to the next.
+    pub fn most_in_whole_second(&self) -> usize {
+        let second = |a: &Millis, b: &Millis| (a / 1_000.0).floor() == (b / 1_000.0).floor();
+        self.starts.chunk_by(second).map(<[Millis]>::len).max().unwrap_or(0)
+    }
+
     /// Counts a call that comes so long after the return; `recent` holds the calls of the fall time.
     pub(super) fn push(&mut self, recent: &mut VecDeque<Millis>, since: Millis, told: f64) {
         recent.push_back(since);
