--- a/crates/rig/src/fleet_limit.rs
+++ b/crates/rig/src/fleet_limit.rs
@@ -1,10 +1,14 @@
 //! `rig fleet-limit`: many senders before one partner in simulated time: with notes, without, and as if they were few.
 
-use clap::Args;
-use rudderspindle_model::partner::{Limit, Notes, Outage, Scene, Seen, play};
+mod bounds;
+mod sum;
+
+use clap::{Args, ValueEnum};
+use rudderspindle_model::partner::{Limit, Notes, Outage, Scene, play};
 
 use crate::Common;
 use crate::report::Report;
+use sum::Sum;
 
 /// Simulated seconds of a round if nothing else is said.
 const SECONDS: u16 = 40;
@@ -25,101 +29,100 @@
     /// What the partner takes, calls a second from all senders together.
     #[arg(long, default_value_t = 60.0)]
     limit: f64,
-    /// The share of the notes that are lost.
-    #[arg(long, default_value_t = 0.0, value_parser = share)]
-    lost: f64,
+    /// The share of the notes that are lost; with `--bound` strict or both, from none to all in turn if not given.
+    #[arg(long, value_parser = share)]
+    lost: Option<f64>,
+    /// What holds senders with notes to the limit.
+    #[arg(long, value_enum, default_value_t = Held::Use)]
+    bound: Held,
 }
 
-fn share(text: &str) -> Result<f64, String> {
-    let share: Option<f64> = text.parse().ok();
-    share
-        .filter(|share| (0.0..=1.0).contains(share))
-        .ok_or_else(|| "a share from 0 to 1 is wanted".to_owned())
+/// What holds senders with notes to the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Held {
+    /// What notes leave to each.
+    Use,
+    /// Turns: each call needs one.
+    Strict,
+    /// One beside the other.
+    Both,
 }
 
-/// What was counted in all rounds of one kind.
-#[derive(Default)]
-struct Sum {
-    room: f64,
-    delivered: f64,
-    refused: f64,
-    offered: f64,
-    earned: f64,
-    push: f64,
-}
+/// A limit, and from when until when the partner is down, ms.
+type Strike = (&'static str, Limit, Option<(f64, f64)>);
 
-impl Sum {
-    fn add(&mut self, scene: &Scene, seen: &Seen) {
-        self.room += (scene.told * scene.ends / 1_000.0).min(seen.asked as f64);
-        self.delivered += seen.delivered as f64;
-        self.refused += seen.refused as f64;
-        self.offered += seen.offered.iter().sum::<f64>();
-        self.earned += seen.earned.iter().sum::<f64>();
-        self.push = self.push.max(seen.worst);
-    }
+fn strikes() -> [Strike; 3] {
+    let halved = Limit::Rate { halved: 8_000.0..17_000.0, wait: 750.0, owed: 1_500.0 };
+    let spans = Limit::Span { carried: 0.5 };
+    [
+        ("spans", spans.clone(), None),
+        ("halved rate", halved, None),
+        ("outage", spans, Some((8_000.0, 13_000.0))),
+    ]
+}
 
-    fn report(&self, name: &str, report: &mut Report) {
-        let (used, refused) = (self.delivered / self.room.max(1.0), self.refused / self.delivered.max(1.0));
-        let earned = self.earned / self.offered.max(1.0);
-        println!("{name:<28} {used:>12.3} {earned:>14.3} {refused:>24.3} {:>14.2}", self.push);
-        let key = name.replace([' ', ','], "_").replace("__", "_");
-        report.figure(&format!("{key}_use_share"), used);
-        report.figure(&format!("{key}_earned_share"), earned);
-        report.figure(&format!("{key}_refused_ratio"), refused);
-        if self.push > 0.0 {
-            report.figure(&format!("{key}_push_ratio"), self.push);
+impl FleetArguments {
+    /// A scene of so many ms whose senders have neither notes nor word of their number.
+    fn scene(&self, seed: u64, (_, limit, down): &Strike, ends: f64) -> Scene {
+        let (from, until) = down.unwrap_or((f64::INFINITY, f64::INFINITY));
+        let calm = Scene::draw(seed, |_| Outage::Refuse);
+        let senders = usize::from(self.senders);
+        Scene {
+            senders,
+            busy: senders,
+            peers: FEW.min(senders),
+            limit: limit.clone(),
+            told: self.limit,
+            routes: 2,
+            struck: 0..2,
+            load: self.load,
+            work: 150.0,
+            from,
+            until,
+            ends,
+            ..calm
         }
     }
 }
 
+fn share(text: &str) -> Result<f64, String> {
+    let share: Option<f64> = text.parse().ok();
+    share
+        .filter(|share| (0.0..=1.0).contains(share))
+        .ok_or_else(|| "a share from 0 to 1 is wanted".to_owned())
+}
+
 /// Plays the scenes in turn, each with a fleet whose senders tell one another what they want, with one that only knows its
-/// number, and with one that does not.
+/// number, and with one that does not; or, where turns are asked for, with a fleet that has notes, over the notes' loss.
 pub fn run(common: &Common, fleet: &FleetArguments) -> Report {
     let seed = common.seed();
     let mut report = Report::new("fleet-limit", seed);
     let ends = f64::from(common.seconds.unwrap_or(SECONDS)) * 1_000.0;
     let senders = usize::from(fleet.senders);
     println!("seed {seed}, {senders} senders, {} calls a second, load {}", fleet.limit, fleet.load);
+    if fleet.bound != Held::Use {
+        bounds::run(seed..seed.wrapping_add(common.rounds), fleet, ends, &mut report);
+        return report;
+    }
     let (used, earned, refused) = ("use (share)", "worth (share)", "refusals per delivered");
     println!("{:<28} {used:>12} {earned:>14} {refused:>24} {:>14}", "scene", "worst push");
-    let halved = Limit::Rate { halved: 8_000.0..17_000.0, wait: 750.0, owed: 1_500.0 };
-    let spans = Limit::Span { carried: 0.5 };
-    for (name, limit, down) in [
-        ("spans", &spans, None),
-        ("halved rate", &halved, None),
-        ("outage", &spans, Some((8_000.0, 13_000.0))),
-    ] {
-        let notes = Notes { lost: fleet.lost, cut: 0.0..0.0 };
-        for (told, notes, who) in [
+    for strike in &strikes() {
+        let name = strike.0;
+        let notes = Notes { lost: fleet.lost.unwrap_or(0.0), cut: 0.0..0.0 };
+        for (peers, notes, who) in [
             (senders, Some(notes), "with notes"),
             (senders, None, "told"),
             (FEW.min(senders), None, "as if few"),
         ] {
             let mut sum = Sum::default();
             for round in 0..common.rounds {
-                let (from, until) = down.unwrap_or((f64::INFINITY, f64::INFINITY));
-                let calm = Scene::draw(seed.wrapping_add(round), |_| Outage::Refuse);
-                let scene = Scene {
-                    senders,
-                    busy: senders,
-                    peers: told,
-                    notes: notes.clone(),
-                    limit: limit.clone(),
-                    told: fleet.limit,
-                    routes: 2,
-                    struck: 0..2,
-                    load: fleet.load,
-                    work: 150.0,
-                    from,
-                    until,
-                    ends,
-                    ..calm
-                };
+                let calm = fleet.scene(seed.wrapping_add(round), strike, ends);
+                let scene = Scene { peers, notes: notes.clone(), ..calm };
                 sum.add(&scene, &play(&scene));
             }
             sum.report(&format!("{name}, {who}"), &mut report);
-            if told == senders && sum.push > FALLS_AT {
-                report.broken(format!("{name}: pushed to {:.2} times what it could do", sum.push));
+            if peers == senders && sum.push() > FALLS_AT {
+                report.broken(format!("{name}: pushed to {:.2} times what it could do", sum.push()));
             }
         }
     }
