--- a/crates/model/src/partner/client.rs
+++ b/crates/model/src/partner/client.rs
@@ -11,6 +11,8 @@
     pub fleet: Fleet,
     /// Where each call needs a turn.
     pub rights: Option<Rights>,
+    /// The part of each limit that the partner is believed to take, as notes tell; all of it where they do not.
+    pub takes: BTreeMap<Gate, f64>,
     /// How far its clock is ahead, ms.
     pub ahead: u64,
     /// Whether its process runs.
@@ -41,7 +43,10 @@
     pub fn report(&mut self, wall: u64) -> Vec<Letter> {
         let wants = self.sender.wants();
         let letters = self.fleet.report(wall, &own(&wants));
+        self.takes.clear();
         if let Some(rooms) = self.fleet.rooms(wall) {
+            self.takes =
+                wants.iter().map(|want| (gate(want), self.fleet.open(gate(want), want.limit))).collect();
             for want in &wants {
                 let room = rooms.iter().find(|(named, _)| *named == gate(want));
                 let calls = room.map_or(f64::INFINITY, |room| room.1);
@@ -79,7 +84,8 @@
         let Some(rights) = &self.rights else { return };
         let from_now = |at: u64| at as f64 - wall as f64;
         for want in &self.sender.wants() {
-            let turns = rights.turns(wall, gate(want), 1.0).into_iter().map(|turn| Turn {
+            let open = self.takes.get(&gate(want)).copied().unwrap_or(1.0);
+            let turns = rights.turns(wall, gate(want), open).into_iter().map(|turn| Turn {
                 number: turn.number,
                 from: from_now(turn.from),
                 until: from_now(turn.until),
--- a/crates/model/src/partner/play.rs
+++ b/crates/model/src/partner/play.rs
@@ -89,6 +89,7 @@
         sender,
         fleet: Fleet::new(n, scene.senders, Ramp { start, growth: later - start }),
         rights: strict.then(rights),
+        takes: BTreeMap::new(),
         ahead,
         up: true,
         events: vec![listed(scene, 0..scene.routes)],
--- a/crates/model/tests/strict.rs
+++ b/crates/model/tests/strict.rs
@@ -85,3 +85,38 @@
         assert!(seen.delivered > 300, "{} delivered", seen.delivered);
     }
 }
+
+/// Turns know of no outage: where notes tell of one, those that are too many are left out, the same at every sender.
+#[test]
+fn strict_senders_do_not_push_over_a_partner_that_returns_from_an_outage() {
+    for lost in [0.0, 0.5] {
+        let down = (8_000.0, 13_000.0);
+        let scene = Scene {
+            senders: 300,
+            busy: 300,
+            peers: 300,
+            told: 75.0,
+            struck: 0..2,
+            from: down.0,
+            until: down.1,
+            ends: 24_000.0,
+            ..evening(5, lost)
+        };
+        let seen = play(&scene);
+        println!("{lost} lost: pushed to {:.2} times what it could do", seen.worst);
+        assert_bound(&scene, &seen);
+        assert!(seen.worst < 2.5, "{lost} lost: pushed to {:.2} times what it could do", seen.worst);
+    }
+}
+
+/// Of a partner that lowers its limit without a word, the turns it has none for are left out, as notes tell.
+#[test]
+fn strict_senders_are_seldom_refused_where_the_limit_is_halved() {
+    let limit = Limit::Rate { halved: 8_000.0..17_000.0, wait: 750.0, owed: 1_500.0 };
+    let scene = Scene { limit, ends: 24_000.0, ..evening(5, 0.0) };
+    let seen = play(&scene);
+    let refused = seen.refused as f64 / seen.delivered as f64;
+    println!("{refused:.2} refusals a delivered message");
+    assert_bound(&scene, &seen);
+    assert!(refused < 0.25, "{refused:.2} refusals a delivered message");
+}
--- a/crates/share/src/fleet.rs
+++ b/crates/share/src/fleet.rs
@@ -194,6 +194,11 @@
         letters
     }
 
+    /// The part of a limit that the partner is believed to take now, from 0 to 1, by the sums that [`Fleet::rooms`] took in last.
+    pub fn open(&self, gate: Gate, limit: f64) -> f64 {
+        self.levels.get(&gate).map_or(1.0, |level| level.open(limit))
+    }
+
     /// How many calls a second there are for each that is wanted: of each gate that is anywhere near its limit, by the
     /// sums that came last, and of each that is too new here for them to tell of. Nothing if none have come lately.
     pub fn rooms(&mut self, wall: u64) -> Option<Vec<(Gate, f64)>> {
--- a/crates/share/src/sums.rs
+++ b/crates/share/src/sums.rs
@@ -105,6 +105,11 @@
 }
 
 impl Level {
+    /// The part of all that may be given out of such a limit that the partner is believed to take now, from 0 to 1.
+    pub fn open(&self, limit: f64) -> f64 {
+        (self.given / (limit * GIVEN)).clamp(0.0, 1.0)
+    }
+
     /// Takes in new sums, `after` seconds after the last ones: calls a second of a limit of so many for each call that
     /// is wanted.
     ///
