--- a/crates/model/tests/strict.rs
+++ b/crates/model/tests/strict.rs
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn a_sender_that_is_killed_after_its_turns_and_back_soon_does_not_use_them_again() {
+fn the_bound_holds_where_a_sender_is_killed_after_it_used_its_turns_and_is_back_0_6_s_later() {
     for at in [6_100.0, 6_600.0, 7_350.0, 7_900.0] {
         // All of it goes to one sender's messages, so that it has used all of what it has.
         let scene = Scene { busy: 1, restart: Some((0, at)), gone: 600.0, ..evening(3, 0.0) };
