Judgements and tenants' counts wired, each off without the fleet's file; engine split

Change: with [share] judgements or counts in the fleet's file the engine keeps how calls ended and what was taken on until the next report; peers/shared tells it to the views and hands back which receivers a hall judges down (Event::Avoid: called last, never shut) and what of each quota is this sender's (Event::Quota). The engine is split by job, config's, peers' and rights' tests stand apart.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -107,6 +107,8 @@
     gone_at: Option<Millis>,
     out: usize,
     used_at: Millis,
+    /// Whether others judge it to be down.
+    judged: bool,
 }
 
 /// A message taken; kept until it is over and no attempt is out.
@@ -201,6 +203,11 @@
                 let turns: Vec<_> = turns.iter().map(turn).collect();
                 gate.into_iter().for_each(|gate| gate.room.deal(self.now, &turns));
             }
+            Event::Avoid(judged) => {
+                let routes = self.destinations.values_mut().flat_map(|d| &mut d.routes);
+                routes.for_each(|r| r.judged = judged.contains(&r.id));
+            }
+            Event::Quota { tenant, per_s } => self.quotas.tell(*tenant, *per_s),
             Event::Started { id, attempt } => {
                 let out = self.messages.get_mut(id).filter(|m| m.out.is_some_and(|out| out.0 == *attempt));
                 out.into_iter().for_each(|m| m.worth.ends_at = f64::INFINITY);
--- a/crates/decide/src/decide/choice.rs
+++ b/crates/decide/src/decide/choice.rs
@@ -35,6 +35,8 @@
             let far = r.zone != self.settings.zone;
             // Where all are down, each is asked in turn.
             let asked = if d.shared.health.is_down() { r.used_at as u64 } else { 0 };
+            // Departure (several others of our hall judge it to be down): sound ones go first.
+            let ill = r.judged || ill;
             let worse = (d.down(index), ill, r.gate.health.state != State::Up);
             (worse, asked, far, r.out, Reverse(r.used_at as u64), r.id)
         });
--- a/crates/decide/src/interface/event.rs
+++ b/crates/decide/src/interface/event.rs
@@ -104,6 +104,16 @@
         /// One for each call.
         turns: Vec<Turn>,
     },
+    /// Receivers that others judge to be down, in place of those told before: others of their partner go first.
+    Avoid(Vec<RouteId>),
+    /// What of a tenant's quota over all senders is this sender's, by the fleet's counts: messages a second; nothing where
+    /// no word of others has come.
+    Quota {
+        /// The tenant, by index.
+        tenant: usize,
+        /// Messages a second.
+        per_s: Option<f64>,
+    },
     /// A streamed answer has begun; the attempt belongs to the client from here.
     Started {
         /// The message.
--- /dev/null
+++ b/crates/sender/src/engine/attempts.rs
@@ -0,0 +1,68 @@
+//! Attempts: their place in the journal, the calls, and what came of them.
+
+use super::*;
+
+impl Engine {
+    /// The attempt's place in the journal, and the call to make. While stopping none starts too late: the
+    /// message then stays in the journal for the next start.
+    pub(super) fn attempt(
+        &mut self,
+        now: Instant,
+        id: MessageId,
+        route: RouteId,
+        timeout: Millis,
+        within: Millis,
+    ) -> Option<Call> {
+        if self.stop.is_some_and(|at| now - at >= STOP_SENDING) {
+            return None;
+        }
+        let held = self.held.get_mut(&id)?;
+        let (receiver, zone) = self.outbound.place(route)?;
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let destination = self.routes.get(&receiver).and_then(|known| known.destination);
+        held.receiver = destination.map(|to| Receiver::of(to.0, &receiver));
+        tracing::debug!(target: STORY, txn = &*held.txn, attempt, receiver = &*receiver, zone = &*zone, "attempt");
+        self.store.attempt(&held.txn, Ran { at: journal::wall_ms(), receiver, zone });
+        let (txn, key, body) = (held.txn.clone(), held.key.clone(), held.body.clone());
+        let patience = Duration::from_secs_f64(timeout.max(0.0) / 1_000.0);
+        let until = if timeout == 0.0 { held.ends_at } else { (now + patience).min(held.ends_at) };
+        let within = Duration::try_from_secs_f64(within.max(0.0) / 1_000.0);
+        let latest = within.map_or(held.ends_at, |within| now + within);
+        Some(Call { id, attempt, route, txn, key, body, until, latest })
+    }
+
+    pub(super) fn outcome(&mut self, id: MessageId, attempt: u32, report: Report) -> Event {
+        self.calls.remove(&id);
+        let Report { outcome, wait, closed } = report;
+        let receiver = self.held.get_mut(&id).and_then(|held| held.receiver.take());
+        self.doings.saw(receiver, outcome);
+        if let Some(held) = self.held.get(&id) {
+            tracing::debug!(target: STORY, txn = &*held.txn, attempt, ?outcome, wait, "outcome");
+            if closed {
+                self.store.end(&held.txn, None);
+                if outcome == Outcome::Ok {
+                    self.figures.ended(held.class, End::Delivered);
+                }
+                self.release(id);
+            } else {
+                let never = matches!(
+                    outcome,
+                    Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
+                );
+                self.store.outcome(&held.txn, attempt, !never);
+            }
+        }
+        let closed = !self.held.contains_key(&id);
+        Event::Outcome { id, attempt, outcome, retry_after: wait, closed }
+    }
+
+    pub(super) fn cancel(&mut self, id: MessageId, attempt: u32) {
+        let out = self.held.get(&id).is_none_or(|held| held.attempts == attempt + 1);
+        if let Some(call) = self.calls.get(&id).filter(|_| out) {
+            call.abort();
+            let event = self.outcome(id, attempt, Outcome::Cancelled.into());
+            self.carried.push(event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/batch.rs
@@ -0,0 +1,82 @@
+//! One batch: what has come, as the module is told it.
+
+use super::*;
+
+/// Turns as the module is told them: from now, whatever the wall clock has done since.
+fn turns(
+    all: Vec<(DestinationId, Option<RouteId>, Vec<rudderspindle_share::Turn>)>,
+) -> impl Iterator<Item = Event> {
+    let wall = journal::wall_ms() as Millis;
+    let turn = move |t: rudderspindle_share::Turn| Turn {
+        number: t.number,
+        from: t.from as Millis - wall,
+        until: t.until as Millis - wall,
+    };
+    all.into_iter().map(move |(destination, route, turns)| {
+        let turns = turns.into_iter().map(turn).collect();
+        Event::Turns { destination, route, turns }
+    })
+}
+
+impl Engine {
+    pub(super) fn batch(&mut self, inputs: Vec<Input>) {
+        let now = Instant::now();
+        self.last_batch = now;
+        let mut events = std::mem::take(&mut self.carried);
+        let mut fresh = Vec::new();
+        let (mut room, mut refused) = (0, Vec::new());
+        for input in inputs {
+            match input {
+                Input::HandedIn(submission) => {
+                    let message = self.admit(submission, now, &mut room, &mut fresh, &mut refused);
+                    events.extend(message.map(Event::Message));
+                }
+                Input::Withdrawn(hand_in) => events.extend(self.withdraw(hand_in)),
+                Input::Outcome { id, attempt, report } => events.push(self.outcome(id, attempt, report)),
+                Input::Probed { route, outcome } => events.push(Event::Probed { route, outcome }),
+                Input::List(list) => {
+                    let entries = self.list(&list);
+                    let change =
+                        if list.complete { ListChange::Full(entries) } else { ListChange::Delta(entries) };
+                    events.push(Event::List(change));
+                }
+                Input::Settled(txns) => txns.iter().for_each(|txn| self.store.settled(txn)),
+                Input::Successor(came) => self.successor(came),
+                Input::Waits { destination, receiver, ms } => {
+                    events.extend(self.heed(destination, receiver.as_deref(), ms));
+                }
+                Input::OutElsewhere(calls) => self.sender.share_slots(calls),
+                Input::Succeed(asker) => {
+                    self.succeed(now);
+                    let _ = asker.send(self.store.is_owner());
+                }
+                Input::Wants(asker) => drop(asker.send(self.doings())),
+                Input::Rooms(rooms, lasts) => {
+                    let room = |(destination, route, calls)| Event::Room { destination, route, calls, lasts };
+                    events.extend(rooms.into_iter().map(room));
+                }
+                Input::Avoid(routes) => events.push(Event::Avoid(routes)),
+                Input::Quotas(all) => {
+                    let quota = |(tenant, per_s)| Event::Quota { tenant, per_s };
+                    events.extend(all.into_iter().enumerate().map(quota));
+                }
+                Input::Turns(all) => events.extend(turns(all)),
+                // Nobody may wait for it any more.
+                Input::Look(asker) => drop(asker.send(self.standing())),
+                Input::Stop => self.stop = self.stop.or(Some(now)),
+            }
+        }
+        events.append(&mut self.carried);
+        self.wakes.retain(|&(at, token)| {
+            let due = at <= now;
+            if due {
+                events.push(Event::Wake(token));
+            }
+            !due
+        });
+        let mut actions = Vec::new();
+        let clock = (now - self.origin).as_secs_f64() * 1_000.0;
+        self.sender.handle(clock, &events, &mut actions);
+        self.carry_out(now, fresh, refused, actions);
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/commit.rs
@@ -0,0 +1,104 @@
+//! Records what was decided in one write, and only then does it.
+
+use super::*;
+
+impl Engine {
+    /// Records what was decided, and then does it.
+    pub(super) fn carry_out(
+        &mut self,
+        now: Instant,
+        fresh: Vec<Fresh>,
+        refused: Vec<(oneshot::Sender<Answer>, Answer)>,
+        actions: Vec<Action>,
+    ) {
+        let mut ended: HashMap<MessageId, Status> = HashMap::new();
+        for action in &actions {
+            match *action {
+                Action::Refuse { id, retry_after } => {
+                    let again = (retry_after > 0.0).then_some(retry_after as u64);
+                    ended.insert(id, Status::Deferred(again));
+                }
+                Action::Fail { id } => drop(ended.insert(id, Status::Undeliverable)),
+                _ => {}
+            }
+        }
+        // What is ended with the batch that brought it was never taken on: its client hears it at once.
+        let mut answers = refused;
+        let mut taken = Vec::new();
+        for Fresh { id, class, record, answer } in fresh {
+            if let Some(status) = ended.remove(&id) {
+                self.release(id);
+                self.figures.ended(class, status.into());
+                let word = match status {
+                    Status::Undeliverable => Answer::Failed,
+                    Status::Deferred(again) => Answer::Refused(again.unwrap_or(0) as Millis),
+                };
+                answers.push((answer, word));
+            } else {
+                tracing::debug!(target: STORY, txn = &*record.txn, class = &*record.class,
+                    to = record.destination, "taken on");
+                self.store.take(record);
+                taken.push((id, answer));
+            }
+        }
+        let mut notices = Vec::new();
+        for (id, status) in ended {
+            let Some(held) = self.release(id) else { continue };
+            tracing::debug!(target: STORY, txn = &*held.txn, ?status, "ended");
+            self.store.end(&held.txn, Some(status));
+            self.figures.ended(held.class, status.into());
+            notices.push(Notice { txn: held.txn, status });
+        }
+        let mut calls = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send { id, route, timeout, within } => {
+                    calls.extend(self.attempt(now, id, route, timeout, within));
+                }
+                Action::Wake { delay, token } => {
+                    let delay = Duration::from_secs_f64(delay.max(0.0) / 1_000.0);
+                    self.wakes.push((now + delay, token));
+                }
+                Action::Cancel { id, attempt } => self.cancel(id, attempt),
+                Action::Probe { route } => self.outbound.probe(route),
+                // The watch is always on.
+                Action::Subscribe => {}
+                Action::Remember { destination, route, trouble } => {
+                    self.remember(destination, route, trouble);
+                }
+                Action::Refuse { .. } | Action::Fail { .. } => {}
+            }
+        }
+        if let Err(error) = self.store.commit() {
+            tracing::warn!("journal: a batch could not be written: {error}");
+            for (id, answer) in taken.drain(..) {
+                if let Some(held) = self.release(id) {
+                    self.store.forget(&held.txn);
+                    self.carried.push(Event::Dropped(id));
+                    self.figures.ended(held.class, End::Refused);
+                }
+                answers.push((answer, Answer::Refused(0.0)));
+            }
+            // An attempt that is not on record must not go out.
+            for call in calls.drain(..) {
+                let report = Report::from(Outcome::Moot);
+                let event = self.outcome(call.id, call.attempt, report);
+                self.carried.push(event);
+            }
+        }
+        answers.extend(taken.into_iter().map(|(_, answer)| (answer, Answer::Accepted)));
+        for (answer, word) in answers {
+            // If nobody waits for it any more, the connection's end says so.
+            let _ = answer.send(word);
+        }
+        notices.into_iter().for_each(|notice| self.reports.push(notice));
+        for call in calls {
+            let id = call.id;
+            self.calls.insert(id, self.outbound.start(call));
+        }
+        if self.neighbour.is_there() && self.told_out != self.calls.len() {
+            self.told_out = self.calls.len();
+            self.neighbour.tell(Word::Out(self.told_out));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/intake.rs
@@ -0,0 +1,133 @@
+//! Messages that are handed in, held and withdrawn.
+
+use super::*;
+
+impl Engine {
+    /// A message handed in, unless it is turned away at the door.
+    pub(super) fn admit(
+        &mut self,
+        submission: Submission,
+        now: Instant,
+        room: &mut u64,
+        fresh: &mut Vec<Fresh>,
+        refused: &mut Vec<(oneshot::Sender<Answer>, Answer)>,
+    ) -> Option<Message> {
+        let Submission { number, txn, class, tenant, destination, key, body, ends_at, answer } = submission;
+        if answer.is_closed() {
+            return None;
+        }
+        if !self.destinations.contains(&destination) {
+            // Before any list has come, nothing can be said of it.
+            let unknown = !self.destinations.is_empty();
+            if !unknown {
+                self.figures.ended(class, End::Refused);
+            }
+            refused.push((answer, if unknown { Answer::UnknownDestination } else { Answer::Refused(0.0) }));
+            return None;
+        }
+        if let Some(&id) = self.ids.get(&txn) {
+            // Handed in twice, taken on once, and owed to each client that hears so: to forget the earlier one
+            // would let anybody who knows an id end its message by going away.
+            let held = self.held.get_mut(&id).filter(|held| held.hand_ins.len() < MOST_HAND_INS);
+            match held.filter(|_| fresh.iter().all(|f| f.id != id)) {
+                Some(held) => {
+                    held.hand_ins.push(number);
+                    self.hand_ins.insert(number, id);
+                    refused.push((answer, Answer::Accepted));
+                }
+                None => {
+                    self.figures.ended(class, End::Refused);
+                    refused.push((answer, Answer::Refused(0.0)));
+                }
+            }
+            return None;
+        }
+        if self.store.knows(&txn) {
+            // Its notice is still owed: what acknowledges that must not end a new message of the same id.
+            self.figures.ended(class, End::Refused);
+            refused.push((answer, Answer::Refused(0.0)));
+            return None;
+        }
+        let left = ends_at.saturating_duration_since(now);
+        let record = journal::Message {
+            txn: txn.clone(),
+            class: self.names.classes.get(class).map_or("", String::as_str).into(),
+            tenant: self.names.tenants.get(tenant).map_or("", String::as_str).into(),
+            destination: destination.0,
+            key: key.clone(),
+            deadline: journal::wall_ms() + left.as_millis() as u64,
+            body: body.clone(),
+            attempts: 0,
+            may_have_run: None,
+            out: None,
+        };
+        let more = record.room();
+        if self.held.len() >= self.settings.most_held || !self.store.has_room(*room + more) {
+            self.figures.ended(class, End::Refused);
+            refused.push((answer, Answer::Refused(0.0)));
+            return None;
+        }
+        if !Store::fits_batch(*room + more) {
+            let submission =
+                Submission { number, txn, class, tenant, destination, key, body, ends_at, answer };
+            self.deferred.push(Input::HandedIn(submission));
+            return None;
+        }
+        *room += more;
+        let id = self.hold(Held {
+            txn,
+            class,
+            hand_ins: vec![number],
+            key,
+            body,
+            ends_at,
+            attempts: 0,
+            receiver: None,
+        });
+        self.hand_ins.insert(number, id);
+        self.doings.took(tenant);
+        fresh.push(Fresh { id, class, record, answer });
+        Some(Message {
+            id,
+            class,
+            tenant,
+            ordering_key: 0,
+            time_left: left.as_secs_f64() * 1_000.0,
+            work_guess: None,
+            destination,
+        })
+    }
+
+    pub(super) fn hold(&mut self, held: Held) -> MessageId {
+        let mut id = MessageId(self.next_id);
+        while self.held.contains_key(&id) || self.calls.contains_key(&id) {
+            id = MessageId(id.0.wrapping_add(1));
+        }
+        self.next_id = id.0.wrapping_add(1);
+        self.ids.insert(held.txn.clone(), id);
+        self.held.insert(id, held);
+        id
+    }
+
+    pub(super) fn release(&mut self, id: MessageId) -> Option<Held> {
+        let held = self.held.remove(&id)?;
+        self.ids.remove(&held.txn);
+        for hand_in in &held.hand_ins {
+            self.hand_ins.remove(hand_in);
+        }
+        Some(held)
+    }
+
+    pub(super) fn withdraw(&mut self, hand_in: u64) -> Option<Event> {
+        let id = self.hand_ins.remove(&hand_in)?;
+        let held = self.held.get_mut(&id)?;
+        held.hand_ins.retain(|&number| number != hand_in);
+        if !held.hand_ins.is_empty() {
+            return None;
+        }
+        let held = self.release(id)?;
+        tracing::debug!(target: STORY, txn = &*held.txn, "withdrawn");
+        self.store.end(&held.txn, None);
+        Some(Event::Dropped(id))
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/standing.rs
@@ -0,0 +1,30 @@
+//! What the engine tells of itself: to notes, and to operators.
+
+use super::*;
+
+impl Engine {
+    /// What notes tell of this sender.
+    pub(super) fn doings(&mut self) -> Doings {
+        let listed = if self.doings.is_kept() { self.listed() } else { Vec::new() };
+        Doings { wants: self.wants(), listed, ..self.doings.take() }
+    }
+
+    pub(super) fn wants(&self) -> Vec<(Gate, Want)> {
+        let named = |want: Want| {
+            let receiver = match want.route {
+                Some(route) => Some(self.outbound.place(route)?.0),
+                None => None,
+            };
+            Some((Gate::of(want.destination.0, receiver.as_deref()), want))
+        };
+        self.sender.wants().into_iter().filter_map(named).collect()
+    }
+
+    pub(super) fn standing(&self) -> Standing {
+        Standing {
+            open_requests: self.held.len(),
+            registry_entries: self.routes.values().filter(|known| known.gone_at.is_none()).count(),
+            out_of_rotation: self.sender.avoided(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/succession.rs
@@ -0,0 +1,76 @@
+//! Two processes of one sender for a while.
+
+use super::*;
+
+impl Engine {
+    /// A successor gets half of the disk, and hears what is known of outages and waits.
+    pub(super) fn successor(&mut self, came: bool) {
+        if !came {
+            self.sender.share_slots(0);
+        }
+        if !self.store.is_owner() {
+            // It is the owner that is gone; its journal's lock says when it has ended.
+            return;
+        }
+        if let Err(error) = self.store.share(came) {
+            tracing::warn!("journal: no room could be made for a successor: {error}");
+        }
+        if !came {
+            return;
+        }
+        tracing::info!("handover: a successor has come");
+        for ((destination, receiver), trouble) in self.store.memories() {
+            let trouble = match trouble {
+                journal::Trouble::Down { wait } => handover::Trouble::Down { wait },
+                journal::Trouble::Cold { ago, part } => handover::Trouble::Cold { ago, part },
+            };
+            let (destination, receiver) = (*destination, receiver.to_string());
+            self.neighbour.tell(Word::Trouble { destination, receiver, trouble });
+        }
+        self.outbound.waits().into_iter().for_each(|word| self.neighbour.tell(word));
+        self.told_out = self.calls.len();
+        self.neighbour.tell(Word::Out(self.told_out));
+        self.neighbour.tell(Word::Room);
+    }
+
+    /// What a predecessor tells a process that begins: as if its own journal had said so.
+    pub fn hear(store: &mut Store, told: &[Word]) {
+        for word in told {
+            if let Word::Trouble { destination, receiver, trouble } = word {
+                let trouble = match *trouble {
+                    handover::Trouble::Down { wait } => journal::Trouble::Down { wait },
+                    handover::Trouble::Cold { ago, part } => journal::Trouble::Cold { ago, part },
+                };
+                store.remember((*destination, receiver.as_str().into()), Some(trouble));
+            }
+        }
+    }
+
+    /// The other process of this sender was told to wait.
+    pub(super) fn heed(&mut self, destination: u16, receiver: Option<&str>, wait: Millis) -> Option<Event> {
+        let route = match receiver {
+            None => None,
+            // One that is on no list here gets nothing anyway.
+            Some(receiver) => Some(self.routes.get(receiver)?.route),
+        };
+        let destination = DestinationId(destination);
+        self.outbound.heed(destination, route, wait);
+        Some(Event::Waits { destination, route, wait })
+    }
+
+    /// If the process that owned the journal has ended, what it owed is ours.
+    pub(super) fn succeed(&mut self, now: Instant) {
+        match self.store.succeed() {
+            Ok(None) => {}
+            Ok(Some(over)) => {
+                tracing::info!(
+                    "handover: taken over: {} messages, {} notices",
+                    over.open.len(),
+                    over.owed.len()
+                );
+                self.recover(now, over.open, over.owed);
+            }
+            Err(error) => tracing::warn!("handover: the older journal cannot be read yet: {error}"),
+        }
+    }
+}
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -5,7 +5,7 @@
 use hyper::header::HeaderName;
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::Txn;
-use rudderspindle_share::Gate;
+use rudderspindle_share::{Gate, Receiver, Seen};
 use serde::Deserialize;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -48,18 +48,37 @@
     OutElsewhere(usize),
     /// Take the journal over, if the process that owns it has ended; whether it is ours is answered.
     Succeed(oneshot::Sender<bool>),
-    /// What is wanted of each limit?
-    Wants(oneshot::Sender<Vec<(Gate, Want)>>),
+    /// What is wanted of each limit, and what has been seen and taken on since the last time?
+    Wants(oneshot::Sender<Doings>),
     /// What notes leave of limits to this sender, calls a second for each that is wanted, and for how long.
     Rooms(Vec<(DestinationId, Option<RouteId>, f64)>, Millis),
     /// Where rights are kept: the turns at each limit that are this sender's, ms since 1970.
     Turns(Vec<(DestinationId, Option<RouteId>, Vec<rudderspindle_share::Turn>)>),
+    /// Receivers that others of this hall judge to be down.
+    Avoid(Vec<RouteId>),
+    /// What of each tenant's quota is this sender's, messages a second, where word of others has come.
+    Quotas(Vec<Option<f64>>),
     /// How does the engine stand?
     Look(oneshot::Sender<Standing>),
     /// SIGTERM.
     Stop,
 }
 
+/// What a sender wants and does, for its notes.
+#[derive(Debug, Default)]
+pub struct Doings {
+    pub wants: Vec<(Gate, Want)>,
+    /// How calls ended since the last time, oldest first; of the last [`MOST_SEEN`] only.
+    pub seen: Vec<(Receiver, Seen)>,
+    /// Messages taken on since the last time, by tenant.
+    pub taken_on: Vec<(u16, u32)>,
+    /// The receivers on the list.
+    pub listed: Vec<(DestinationId, RouteId, Receiver)>,
+}
+
+/// Ends of calls that are kept between two reports.
+pub(crate) const MOST_SEEN: usize = 4_096;
+
 /// A message handed in, and where its answer goes.
 #[derive(Debug)]
 pub struct Submission {
--- a/crates/sender/src/fleet_file.rs
+++ b/crates/sender/src/fleet_file.rs
@@ -1,12 +1,15 @@
 //! The operator's file on how senders act together: TOML, named by the variable `RELAY_FLEET`. Without one every part
 //! is off, and nothing differs.
 
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 
 /// From so many senders on notes are sent, if nothing else is said: fewer learn all they need from their own calls.
 const FROM: usize = 11;
+/// Messages a second that one sender is handed at the most, if nothing else is said.
+const MOST_PER_S: u32 = 100;
 
 /// The operator's file, checked.
 ///
@@ -21,6 +24,9 @@
 pub struct FleetFile {
     #[serde(default)]
     share: Share,
+    /// The numbers of the senders in each hall.
+    #[serde(default)]
+    halls: BTreeMap<String, Vec<usize>>,
 }
 
 /// How partners' limits are shared.
@@ -32,6 +38,15 @@
     from: usize,
     #[serde(default)]
     bound: Bound,
+    /// Whether receivers that several senders of a hall see fail are avoided by all of it.
+    #[serde(default)]
+    judgements: bool,
+    /// Whether tenants' quotas are reckoned over the whole fleet.
+    #[serde(default)]
+    counts: bool,
+    /// Messages a second that one sender is handed at the most: what one that is not heard may have been handed.
+    #[serde(default = "most_per_s")]
+    most_per_s: u32,
 }
 
 /// What holds of a limit.
@@ -85,9 +100,13 @@
     FROM
 }
 
+fn most_per_s() -> u32 {
+    MOST_PER_S
+}
+
 impl Default for Share {
     fn default() -> Self {
-        Self { from: FROM, bound: Bound::Use }
+        Self { from: FROM, bound: Bound::Use, judgements: false, counts: false, most_per_s: MOST_PER_S }
     }
 }
 
@@ -97,6 +116,21 @@
         self.from
     }
 
+    /// Whether receivers that several senders of a hall see fail are avoided by all of it.
+    pub fn judges(&self) -> bool {
+        self.judgements
+    }
+
+    /// Whether tenants' quotas are reckoned over the whole fleet.
+    pub fn counts(&self) -> bool {
+        self.counts
+    }
+
+    /// Messages a second that one sender is handed at the most.
+    pub fn most_per_s(&self) -> u32 {
+        self.most_per_s
+    }
+
     /// Whether no call may start without a right to it.
     pub fn is_strict(&self) -> bool {
         self.bound == Bound::Strict
@@ -137,9 +171,31 @@
             let (field, right) = ("share.from", "a number of senders from 2 on");
             return Err(FleetFileError::OutOfRange { path: path(), field, told, right });
         }
+        let given: Vec<usize> = file.halls.values().flatten().copied().collect();
+        let twice = given.iter().find(|n| given.iter().filter(|other| other == n).count() > 1);
+        if let Some(twice) = twice {
+            let (told, right) = (format!("sender {twice} twice"), "each sender in one hall");
+            return Err(FleetFileError::OutOfRange { path: path(), field: "halls", told, right });
+        }
+        if file.share.judgements && file.halls.is_empty() {
+            let (field, told, right) =
+                ("halls", "empty".to_owned(), "the senders of each hall, for share.judgements,");
+            return Err(FleetFileError::OutOfRange { path: path(), field, told, right });
+        }
+        if file.share.most_per_s == 0 {
+            let (field, told, right) = ("share.most_per_s", "0".to_owned(), "a number of messages from 1 on");
+            return Err(FleetFileError::OutOfRange { path: path(), field, told, right });
+        }
         Ok(file)
     }
 
+    /// The hall of each of so many senders, as a number; those that are in none share one.
+    pub fn halls(&self, senders: usize) -> Vec<u16> {
+        let hall =
+            |n: usize| self.halls.values().position(|of| of.contains(&n)).map_or(0, |at| at as u16 + 1);
+        (0..senders).map(hall).collect()
+    }
+
     /// How partners' limits are shared.
     pub fn share(&self) -> &Share {
         &self.share
@@ -147,31 +203,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_file_that_says_nothing_changes_nothing() {
-        assert_eq!(FleetFile::parse("").expect("a file"), FleetFile::default());
-        assert_eq!(FleetFile::default().share().from(), 11);
-        assert!(!FleetFile::default().share().is_strict());
-    }
-
-    #[test]
-    fn what_cannot_be_used_is_one_error_that_names_the_place() {
-        for (text, says) in [
-            ("[share]\nbond = \"strict\"", "line 2: unknown field `bond`"),
-            ("[shares]", "unknown field `shares`"),
-            ("[share]\nbound = \"tight\"", "unknown variant `tight`, expected `use` or `strict`"),
-            ("[share]\nfrom = 1", "share.from is 1; a number of senders from 2 on is wanted"),
-            ("[share]\nfrom = -3", "invalid value: integer `-3`"),
-            ("share", "fleet.toml, line 1: "),
-        ] {
-            let error = FleetFile::parse(text).expect_err(text).to_string();
-            assert!(error.contains(says) && error.starts_with("fleet.toml"), "{text:?}: {error}");
-            assert!(!error.contains('\n'), "{error:?}");
-        }
-        let missing = FleetFile::read(Path::new("/nowhere/fleet.toml")).expect_err("no file").to_string();
-        assert!(missing.starts_with("/nowhere/fleet.toml: "), "{missing}");
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/sender/src/fleet_file/tests.rs
@@ -0,0 +1,32 @@
+use super::*;
+
+#[test]
+fn a_file_that_says_nothing_changes_nothing() {
+    assert_eq!(FleetFile::parse("").expect("a file"), FleetFile::default());
+    assert_eq!(FleetFile::default().share().from(), 11);
+    assert!(!FleetFile::default().share().is_strict());
+}
+
+#[test]
+fn what_cannot_be_used_is_one_error_that_names_the_place() {
+    for (text, says) in [
+        ("[share]\nbond = \"strict\"", "line 2: unknown field `bond`"),
+        ("[shares]", "unknown field `shares`"),
+        ("[share]\nbound = \"tight\"", "unknown variant `tight`, expected `use` or `strict`"),
+        ("[share]\nfrom = 1", "share.from is 1; a number of senders from 2 on is wanted"),
+        (
+            "[share]\njudgements = true",
+            "halls is empty; the senders of each hall, for share.judgements, is wanted",
+        ),
+        ("[halls]\na = [0, 1]\nb = [1]", "halls is sender 1 twice; each sender in one hall is wanted"),
+        ("[share]\nmost_per_s = 0", "share.most_per_s is 0; a number of messages from 1 on is wanted"),
+        ("[share]\nfrom = -3", "invalid value: integer `-3`"),
+        ("share", "fleet.toml, line 1: "),
+    ] {
+        let error = FleetFile::parse(text).expect_err(text).to_string();
+        assert!(error.contains(says) && error.starts_with("fleet.toml"), "{text:?}: {error}");
+        assert!(!error.contains('\n'), "{error:?}");
+    }
+    let missing = FleetFile::read(Path::new("/nowhere/fleet.toml")).expect_err("no file").to_string();
+    assert!(missing.starts_with("/nowhere/fleet.toml: "), "{missing}");
+}
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -25,6 +25,7 @@
 
 mod config;
 mod discovery;
+mod doings;
 mod door;
 mod engine;
 mod event;
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -1,5 +1,6 @@
 //! Notes between senders over datagrams. What they say and mean is `rudderspindle-share`'s.
 
+mod shared;
 #[cfg(test)]
 mod tests;
 
@@ -9,13 +10,15 @@
 
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::wall_ms;
-use rudderspindle_share::{Fleet, Gate, Incarnation, LONGEST_NOTE, Letter, Own, Ramp, Rights};
+use rudderspindle_share::{Fleet, Gate, Incarnation, Kind, LONGEST_NOTE, Letter, Own, Ramp, Rights, open};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
 use crate::config::Notes;
-use crate::event::Input;
+use crate::event::{Doings, Input};
+use crate::fleet_file::FleetFile;
+use shared::{LOOK, Shared};
 
 /// What notes say is relied on for so long, ms.
 const LASTS: Millis = 1_000.0;
@@ -25,30 +28,37 @@
 pub(crate) const FLEET: &str = "fleet";
 /// Where rights are kept each report goes in every second round: their notes have the room.
 const WITH_RIGHTS: u64 = 2;
-/// The first kind of note beyond those of [`Fleet`].
-const FURTHER: u8 = 0x70;
 
 /// How often a sender tries to have the address for its notes: a process that it takes over from has it till its end.
 const TRY_AGAIN: Duration = Duration::from_secs(1);
 
+/// What the operator's file asks for, beyond sums.
+#[derive(Debug, Default)]
+pub(crate) struct Together {
+    pub file: FleetFile,
+    /// Messages a second of each tenant over all senders.
+    pub quotas: Vec<f64>,
+    /// This process's, where anything needs it.
+    pub life: Option<Incarnation>,
+}
+
 /// One sender's place among its fellows.
 #[derive(Debug)]
 pub(crate) struct Peers {
     notes: Notes,
     fleet: Fleet,
-    /// The life that rights are kept in, where they are.
-    life: Option<Incarnation>,
+    together: Together,
     rights: Option<Rights>,
+    shared: Option<Shared>,
     /// The gates as last told by the host, and the part of each that is believed to be open.
     gates: Vec<(Gate, DestinationId, Option<RouteId>, f64)>,
 }
 
 impl Peers {
-    /// A sender whose notes come and go as told, and whose partners return from an outage like that; with rights if they
-    /// are to be kept in such a life.
-    pub(crate) fn new(notes: Notes, ramp: Ramp, life: Option<Incarnation>) -> Self {
+    /// A sender whose notes come and go as told, and whose partners return from an outage like that.
+    pub(crate) fn new(notes: Notes, ramp: Ramp, together: Together) -> Self {
         let fleet = Fleet::new(notes.me, notes.peers.len(), ramp);
-        Self { notes, fleet, life, rights: None, gates: Vec::new() }
+        Self { notes, fleet, together, rights: None, shared: None, gates: Vec::new() }
     }
 
     /// Tells and hears, until the host is gone.
@@ -77,13 +87,21 @@
             self.notes.peers.iter().enumerate().map(|(number, addr)| (*addr, number)).collect();
         // Who has the address is alone with this number: an earlier process has ended.
         let (me, senders, wall) = (self.notes.me, self.notes.peers.len(), wall_ms());
-        self.rights = self.life.map(|life| Rights::new(me, senders, life, wall));
+        if let Some(life) = self.together.life {
+            let Together { file, quotas, .. } = &self.together;
+            self.rights = file.share().is_strict().then(|| Rights::new(me, senders, life, wall));
+            match Shared::new(file, me, senders, quotas, life, wall) {
+                Ok(shared) => self.shared = shared,
+                Err(error) => tracing::warn!(target: FLEET, "going without counts and judgements: {error}"),
+            }
+        }
         // One byte more than a note may have tells one that is too long.
         let mut buffer = [0; LONGEST_NOTE + 1];
         let (mut report_at, mut offer_at) = (self.next_report(wall), self.next_offer(wall));
         loop {
             let dealing = self.rights.as_ref().and_then(Rights::next_deal);
-            let due = [Some(report_at), self.fleet.next_sums(), dealing, offer_at];
+            let look = self.shared.as_ref().map(|_| wall_ms() / LOOK * LOOK + LOOK);
+            let due = [Some(report_at), self.fleet.next_sums(), dealing, offer_at, look];
             let next = due.into_iter().flatten().min().unwrap_or(report_at);
             tokio::select! {
                 heard = socket.recv_from(&mut buffer) => {
@@ -96,6 +114,7 @@
                 () = sleep(Duration::from_millis(next.saturating_sub(wall_ms()))) => {
                     let mut letters = self.fleet.sums(wall_ms());
                     letters.extend(self.rights.iter_mut().flat_map(|rights| rights.deal(wall_ms())));
+                    letters.extend(self.shared.iter_mut().flat_map(|shared| shared.notes_due(wall_ms())));
                     if wall_ms() >= report_at {
                         let Some(report) = self.report(&host).await else { return };
                         letters.extend(report);
@@ -128,13 +147,16 @@
 
     /// Takes in a datagram; whether there may be other turns now.
     fn hear(&mut self, from: usize, note: &[u8]) -> bool {
-        let further = note.first().is_some_and(|kind| *kind >= FURTHER);
-        let heard = match self.rights.as_mut().filter(|_| further) {
-            Some(rights) => rights.hear(wall_ms(), from, note).map_err(|error| error.to_string()),
-            None => {
-                let heard = self.fleet.hear(wall_ms(), from, note);
-                heard.map(|()| false).map_err(|error| error.to_string())
+        let wall = wall_ms();
+        let heard = match (open(note).map(|(kind, _)| kind), &mut self.rights, &mut self.shared) {
+            (Ok(Kind::Offer | Kind::Grant), Some(rights), _) => {
+                rights.hear(wall, from, note).map_err(|error| error.to_string())
+            }
+            (Ok(Kind::Report | Kind::View), _, Some(shared)) => {
+                shared.hear(wall, from, note).map(|()| false).map_err(|error| error.to_string())
             }
+            // Of another kind, or damaged: it says which, where it does not know it.
+            _ => self.fleet.hear(wall, from, note).map(|()| false).map_err(|error| error.to_string()),
         };
         heard.unwrap_or_else(|error| {
             tracing::debug!(target: LOG, from, "dropped: {error}");
@@ -142,10 +164,16 @@
         })
     }
 
+    /// What the host wants and does; what others make of that goes back to it.
     async fn wants(&mut self, host: &mpsc::Sender<Input>) -> Option<(Vec<(Gate, Want)>, Vec<Own>)> {
-        let (asker, wants) = oneshot::channel();
+        let (asker, doings) = oneshot::channel();
         host.send(Input::Wants(asker)).await.ok()?;
-        let wants = wants.await.ok()?;
+        let doings: Doings = doings.await.ok()?;
+        let told = self.shared.as_mut().map(|shared| shared.exchange(wall_ms(), &doings));
+        for input in told.into_iter().flatten() {
+            host.send(input).await.ok()?;
+        }
+        let wants = doings.wants;
         let own = wants.iter().map(|(gate, want)| {
             let Want { limit, wanted, called, refused, failed, .. } = *want;
             Own { gate: *gate, limit, wanted, called, refused, failed }
--- a/crates/sender/src/peers/tests.rs
+++ b/crates/sender/src/peers/tests.rs
@@ -25,7 +25,7 @@
         let (listen, peers) = (peers[me], peers.clone());
         let (host, inputs) = mpsc::channel(16);
         spawn_local(
-            Peers::new(Notes { me, listen, peers }, Ramp { start: 0.3, growth: 0.1 }, None)
+            Peers::new(Notes { me, listen, peers }, Ramp { start: 0.3, growth: 0.1 }, Together::default())
                 .converse(socket, host),
         );
         (listen, inputs)
@@ -39,7 +39,9 @@
     // One that had heard and was silent from then on would leave the last one alone.
     while heard.get() < 3 {
         match timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input") {
-            Input::Wants(asker) => drop(asker.send(vec![want(wanted)])),
+            Input::Wants(asker) => {
+                drop(asker.send(Doings { wants: vec![want(wanted)], ..Doings::default() }));
+            }
             Input::Rooms(rooms, _) => {
                 if let Some((.., calls)) = rooms.first().filter(|room| room.2 < 0.9)
                     && room.replace(*calls).is_none()
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -23,7 +23,7 @@
 use crate::operator::Operator;
 use crate::outbound::Outbound;
 use crate::pace::Pace;
-use crate::peers::{FLEET, Peers};
+use crate::peers::{FLEET, Peers, Together};
 use crate::reports::Reports;
 
 /// Inputs that may wait for the engine.
@@ -77,6 +77,7 @@
         };
         let notes = config.notes().filter(|notes| notes.peers.len() >= fleet.share().from());
         let strict = fleet.share().is_strict() && notes.is_some();
+        let together = fleet.share().judges() || fleet.share().counts();
         let share = config.limits.share();
         let budget = (config.limits.disk_mb.max(0.0) * 1_000_000.0) as u64;
         let mut store = Store::open(state, budget)
@@ -111,6 +112,7 @@
             shared_door,
             notes: notes.is_some(),
             rights: strict,
+            views: together && notes.is_some(),
             inputs,
         };
         // What the journal holds is taken up before the first client is heard.
@@ -120,6 +122,7 @@
         // with the watch, which starts from the first revision then.
         let start = settings.ramp(0.0);
         let ramp = Ramp { start, growth: settings.ramp(1_000.0) - start };
+        let quotas = settings.tenants.iter().map(|tenant| tenant.quota_per_s).collect();
         let pace = Pace::new(settings.discovery, settings.peers_total, seed);
         let fetched = if pace.takes_turns() { None } else { discovery::fetch(config.discovery).await };
         let revision = if pace.takes_turns() { Some(0) } else { fetched.as_ref().map(|list| list.revision) };
@@ -137,14 +140,15 @@
         });
         spawn_local(async move { outbound.sweep().await });
         if let Some(notes) = notes {
-            let life = if strict {
+            let life = if strict || together {
                 let life = life::begin(state, wall_ms());
                 Some(life.map_err(|error| StartError::State { path: state.to_owned(), error })?)
             } else {
                 None
             };
             tracing::info!(target: FLEET, senders = notes.peers.len(), strict, "limits are shared by notes");
-            spawn_local(Peers::new(notes, ramp, life).run(to_engine.clone()));
+            let together = Together { file: fleet, quotas, life };
+            spawn_local(Peers::new(notes, ramp, together).run(to_engine.clone()));
         }
         let limits = inbound::Limits { sockets: share, body_bytes: config.limits.body_bytes() };
         let inbound =
--- a/crates/standin/src/tier.rs
+++ b/crates/standin/src/tier.rs
@@ -20,7 +20,7 @@
 use crate::mesh::Mesh;
 use crate::partner::Partner;
 use crate::program::{Launch, Program};
-use crate::script::Script;
+use crate::script::{Outage, Script};
 use crate::usage::Usage;
 use crate::world::{StageError, classes, configuration, endpoints, entries, keep_time, name};
 
@@ -52,7 +52,7 @@
     load: Option<JoinHandle<()>>,
     // They stand as long as it does.
     _agents: Vec<Agent>,
-    _partners: Vec<Arc<Partner>>,
+    partners: Vec<Arc<Partner>>,
     _tasks: JoinSet<()>,
 }
 
@@ -105,7 +105,7 @@
             clients,
             load,
             _agents: agents,
-            _partners: partners,
+            partners,
             _tasks: tasks,
         })
     }
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Strikes endpoints of the first partner, and gives them back after a time.
+    pub async fn strike(&self, endpoints: &[String], outage: Outage, for_time: Duration) {
+        if let Some(partner) = self.partners.first() {
+            partner.strike(endpoints, outage, for_time).await;
+        }
+    }
+
     /// How the first partner's limit was used in a span of the log, microseconds.
     pub fn usage(&self, span: Range<u64>) -> Usage {
         let limit = self.script.partners.first().map_or(f64::INFINITY, |partner| partner.per_s.get());
