placement: in force by what one round's statements say, not by one's own hold of now

Need: the draws of tests/fleet.rs failed once in some 60,000 histories: a sender acted in both halls while a narrower revision was in force.

Seen: of five, 1 and 3 stated revision 4 in the round of 20,000; 4 was stopped with it announced; 3 lost its folder at 20,600; 4 went on at 21,000, stated revision 4, then read the word of 20,000. Placement::counted took the two that the word names and its own hold of now for three of five, let revision 3 go (in force since 19,500), and acted wider from 21,400 on, with two holders of revision 4 in the fleet.

Excluded: the judge (holders of revision 4 within any one round were never more than two), a record restored, a lease too long (it came from a word of 0, 1 and 4, rightly), recovery (2 and 3 counted for nothing all the while).

To blame: the lines of rounds.rs that added own (full, kept, not announced, as of now) to the holders of a round's word.

Change: only the word's names count for in force, this sender's own among them. The proptests have a fixed seed; PROPTEST_RNG_SEED and PROPTEST_CASES play others.

--- a/crates/placement/src/rounds.rs
+++ b/crates/placement/src/rounds.rs
@@ -118,16 +118,15 @@
     fn counted(&mut self, now: u64, count: &Count) {
         let me = self.settings.me;
         for (i, tag) in count.named() {
-            let others = count.holders(i).filter(|&sender| sender != me).count();
-            let own = self.lease.full
-                && self.is_kept()
-                && self.held.sets.get(&tag).is_some_and(|e| e.announced.is_none());
-            if self.settings.majority(others + usize::from(own)) && self.held.put_in_force(tag) {
+            // The own hold is counted as it was stated in that round too: what is held by now was perhaps not held while
+            // the others, who may have lost their folders since, held it.
+            if self.settings.majority(count.holders(i).count()) && self.held.put_in_force(tag) {
                 self.tell(Change::InForce { tag });
                 self.changed(now);
             }
             // Who waits with its statement so that others need not close while the set is on its way waits no longer.
-            let spread = others > 0 || count.all_have(i, me);
+            let others = count.holders(i).any(|sender| sender != me);
+            let spread = others || count.all_have(i, me);
             if spread && self.held.state(tag) {
                 self.changed(now);
             }
--- a/crates/placement/tests/spread.rs
+++ b/crates/placement/tests/spread.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use rudderspindle_placement::{Change, HallMask, Halls, LONGEST_BODY, Open, Placement, Rules, Settings};
-use world::{START, World, key, rules, settings, tenant};
+use world::{START, World, drawn, key, rules, settings, tenant};
 
 struct Fleet {
     senders: Vec<Placement>,
@@ -169,7 +169,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(drawn(256))]
 
     #[test]
     fn no_bytes_from_a_peer_panic_or_open_anything(
--- a/crates/placement/tests/world/mod.rs
+++ b/crates/placement/tests/world/mod.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use proptest::test_runner::{Config, RngSeed};
 use rudderspindle_placement::{
     Change, HallMask, Halls, Key, Letter, Open, Placement, Record, Rules, Settings, TenantId,
 };
@@ -13,6 +14,13 @@
 pub const LEASE_MS: u64 = 1_000;
 pub const START: u64 = 10_000;
 
+/// So many cases, the same in each run; `PROPTEST_RNG_SEED` draws others, `PROPTEST_CASES` more.
+pub fn drawn(cases: u32) -> Config {
+    let given = Config::default();
+    let rng_seed = if given.rng_seed == RngSeed::Random { RngSeed::Fixed(35) } else { given.rng_seed };
+    Config { rng_seed, cases: given.cases.max(cases), failure_persistence: None, ..given }
+}
+
 pub fn key() -> Key {
     Key::new([7; 16])
 }
