placement: the exhaustive check of a wider file has a kill beside a late note

Need: no exhaustive world had both, so none of them met the fault of Placement::counted.

Change: a fourth world, with one kill (with or without its folder) and one late note, to 1,400 ms.

--- a/crates/placement/tests/exhaustive.rs
+++ b/crates/placement/tests/exhaustive.rs
@@ -190,3 +190,10 @@
     let (first, second) = (rules(1, &["hall-a"]), rules(2, &["hall-a", "hall-b"]));
     Change { first, second, files: vec![0], faults: Faults { late: 1, ..NONE }, until: 1_900 }.check();
 }
+
+#[test]
+fn a_wider_file_opens_nothing_by_a_holder_that_lost_its_folder_and_one_that_came_later() {
+    let (first, second) = (rules(1, &["hall-a"]), rules(2, &["hall-a", "hall-b"]));
+    Change { first, second, files: vec![0], faults: Faults { kills: 1, late: 1, ..NONE }, until: 1_400 }
+        .check();
+}
