--- a/crates/placement/tests/fleet.rs
+++ b/crates/placement/tests/fleet.rs
@@ -169,8 +169,8 @@
     }
 }
 
-/// Sender 4 stops, its word of the round of 20,000 waits; sender 3, whom it names, loses its folder; sender 4 goes on,
-/// states revision 4 for the first time and then reads the word.
+/// Sender 4 adds up the round of 20,000 and stops before its word; sender 3, whom the word will name, loses its folder;
+/// sender 4 goes on, states revision 4 for the first time and then counts the word.
 #[rustfmt::skip]
 const LATE_WORD: &[Event] = {
     use Event::{Cut, GoOn, Heal, Kill, Nothing, Reload, Stop};
