--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -11,6 +11,7 @@
 mod destination;
 mod dispatch;
 mod ends;
+mod figures;
 mod gate;
 mod list;
 mod outages;
--- a/crates/decide/src/decide/wants.rs
+++ b/crates/decide/src/decide/wants.rs
@@ -1,4 +1,4 @@
-//! What is wanted of each limit, what the fleet's notes leave of it, and figures for the host.
+//! What a sender needs of each limit, and what the fleet's notes leave of it.
 
 use super::*;
 
@@ -32,23 +32,6 @@
         self.keeps_rights = true;
     }
 
-    /// What is wanted of each limit, and what was done to it so far.
-    pub fn wants(&self) -> Vec<Want> {
-        let of = |(&destination, d): (&DestinationId, &Destination)| {
-            let listed = |scope: &Scope| match scope {
-                Scope::Route(index) => d.routes[*index].listing == Listing::Ready,
-                Scope::All => true,
-            };
-            let wants = d.gates().filter(listed).map(|scope| {
-                let ((wanted, limit), room) = (d.need(scope, self.now), &d.gate_of(scope).room);
-                let Room { called, refused, failed, .. } = *room;
-                Want { destination, route: d.name(scope), limit, wanted, called, refused, failed }
-            });
-            wants.collect::<Vec<_>>()
-        };
-        self.destinations.iter().flat_map(of).collect()
-    }
-
     /// A message has come: the first one at a destination takes its turn among all senders'.
     pub(super) fn queue_up(&mut self, to: DestinationId) {
         let Some(mut d) = self.destinations.get_mut(&to).map(std::mem::take) else { return };
@@ -62,20 +45,3 @@
         self.destinations.insert(to, d);
     }
 }
-
-impl Sender {
-    /// Routes, destinations, messages and keys that are remembered.
-    pub fn remembered(&self) -> usize {
-        let routes = self.destinations.values().map(|d| 1 + d.routes.len()).sum::<usize>();
-        routes + self.messages.len() + self.turns.len()
-    }
-
-    /// Routes on the list that take no ordinary calls of ours now: they drain, are down, or told to wait.
-    pub fn avoided(&self) -> usize {
-        let avoided = |d: &Destination, r: usize| match d.routes[r].listing {
-            Listing::Ready => d.down(r) || d.gate(r).wait_until > self.now,
-            listing => listing == Listing::Draining,
-        };
-        self.destinations.values().map(|d| (0..d.routes.len()).filter(|&r| avoided(d, r)).count()).sum()
-    }
-}
--- a/crates/decide/src/quota.rs
+++ b/crates/decide/src/quota.rs
@@ -1,4 +1,4 @@
-//! Each tenant's share of what this sender is handed: a bucket that fills by its quota. No decision.
+//! Whether a message is within its tenant's share of what this sender is handed.
 
 use crate::interface::{Millis, Settings};
 
@@ -51,34 +51,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::interface::*;
-
-    fn settings() -> Settings {
-        let json = serde_json::json!({"extra": {"calls_out": 4}, "limits": {"max_attempts": 4, "most_held": 50},
-            "kinds": ["k"], "lanes": [{"deadline": 9000.0}], "peers_total": 10,
-            "projects": [{"quota_per_s": 100.0}, {"quota_per_s": 100.0}]});
-        crate::settings::read(&json).expect("settings")
-    }
-
-    /// One of ten senders is handed all that a tenant has: its quota of the whole fleet is there for it, as far as counts
-    /// tell; without them an equal part is.
-    #[test]
-    fn a_share_that_the_fleets_counts_tell_of_goes_before_an_equal_part() {
-        let settings = settings();
-        let mut quotas = Quotas::new(2);
-        quotas.tell(0, Some(90.0));
-        let within = |quotas: &mut Quotas, tenant| {
-            let all = (0..2_000).map(|n| quotas.takes(1e6 + f64::from(n) * 10.0, &settings, tenant));
-            all.filter(|within| *within).count()
-        };
-        // Twenty seconds of a hundred a second, and a burst of two.
-        assert_eq!(within(&mut quotas, 0), 1_979);
-        let alone = within(&mut quotas, 1);
-        assert!((200..=230).contains(&alone), "{alone}");
-        quotas.tell(0, None);
-        quotas.tell(7, Some(1.0));
-        assert!(within(&mut quotas, 0) < 400);
-    }
-}
+mod tests;
