The socket under a metered connection stays its owner's when HTTP over it has ended

Need: how a socket is closed (with a linger, over unread bytes, abortively) is the owner's to decide, and hyper drops it with its connection. Change: Metered shares the socket with its owner; no behaviour changes.

--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -181,7 +181,7 @@
         }
         let mut door = self.door.clone();
         door.mark_changed();
-        let io = Metered::new(stream, client.owed.meter.clone());
+        let io = Metered::new(Rc::new(RefCell::new(stream)), client.owed.meter.clone());
         let service = service_fn(|request| self.answer(request, client));
         let mut connection =
             pin!(http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(io, service));
--- a/crates/sender/src/meter.rs
+++ b/crates/sender/src/meter.rs
@@ -133,15 +133,19 @@
     }
 }
 
+/// A socket, whose owner still has it when the HTTP connection over it has ended: how it is closed decides what
+/// becomes of bytes that are on their way.
+pub(crate) type Socket = Rc<RefCell<TcpStream>>;
+
 /// A stream that keeps its meter.
 pub(crate) struct Metered {
-    stream: TcpStream,
+    socket: Socket,
     meter: Rc<Meter>,
 }
 
 impl Metered {
-    pub(crate) fn new(stream: TcpStream, meter: Rc<Meter>) -> Self {
-        Self { stream, meter }
+    pub(crate) fn new(socket: Socket, meter: Rc<Meter>) -> Self {
+        Self { socket, meter }
     }
 
     /// Before the first byte of a request: what has come behind the last answer, a second copy or noise, would
@@ -150,7 +154,7 @@
         if self.meter.answer.is_none() || self.meter.started() {
             return Ok(());
         }
-        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+        match SockRef::from(&*self.socket.borrow()).peek(&mut [MaybeUninit::uninit(); 1]) {
             Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(()),
             Err(error) => Err(error),
             Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
@@ -167,7 +171,7 @@
 
 impl Read for Metered {
     fn poll_read(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<std::io::Result<()>> {
@@ -175,7 +179,7 @@
         let mut bytes = [0; READ_AT_ONCE];
         let room = buf.remaining().min(READ_AT_ONCE);
         let mut read = ReadBuf::new(&mut bytes[..room]);
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, &mut read))?;
         buf.put_slice(read.filled());
         self.meter.note(read.filled());
         Poll::Ready(Ok(()))
@@ -184,32 +188,32 @@
 
 impl Write for Metered {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
         self.check_quiet()?;
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let result = Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, buf);
         self.count(&result);
         result
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
         self.check_quiet()?;
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let result = Pin::new(&mut *self.socket.borrow_mut()).poll_write_vectored(cx, bufs);
         self.count(&result);
         result
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.socket.borrow().is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         // hyper flushes only once all that it has encoded is written, and it encodes a message with a ready
         // body as a whole: after the first byte, a flush means that the last one is written too.
         if self.meter.started() {
@@ -218,10 +222,10 @@
                 figures.relayed();
             }
         }
-        Pin::new(&mut self.stream).poll_flush(cx)
+        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
     }
 }
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -351,7 +351,7 @@
             let stream = TcpStream::connect(addr).await.ok()?;
             stream.set_nodelay(true).ok()?;
             let meter = Rc::new(Meter::of_answers());
-            let io = Metered::new(stream, meter.clone());
+            let io = Metered::new(Rc::new(RefCell::new(stream)), meter.clone());
             let (sender, connection) =
                 http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await.ok()?;
             let task = spawn_local(async move {
