--- /dev/null
+++ b/crates/sender/src/outbound/exchange.rs
@@ -0,0 +1,152 @@
+//! One call or probe: a request over one connection, and what comes back.
+
+use super::*;
+
+const X_TXN: HeaderName = HeaderName::from_static("x-txn");
+const X_REMAINING: HeaderName = HeaderName::from_static("x-remaining");
+/// How long the rest of an answer may take before its connection is given up.
+const REST_OF_ANSWER: Duration = Duration::from_millis(500);
+/// ...and the rest of its head: it is written in one go.
+const HEAD_TIME: Duration = Duration::from_millis(500);
+
+/// A connection, and the body that has not been read from it.
+pub(super) type Rest = (Connection, Option<Incoming>);
+
+/// Why a call has no answer that can be read.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    /// The connection ended, or what came is no answer.
+    Broken,
+    /// Time is up.
+    Silent,
+}
+
+impl Outbound {
+    pub(super) async fn call(&self, call: &Call) -> (Report, Option<Rest>) {
+        let request = |host: HeaderValue| {
+            let left = call.until.saturating_duration_since(Instant::now()).as_secs_f64();
+            let mut request = Request::post("/v1/messages")
+                .header(HOST, host)
+                .header(X_TXN, &*call.txn)
+                .header(X_REMAINING, format!("{left:.3}"));
+            if let Some(key) = &call.key {
+                request = request.header(IDEMPOTENCY_KEY, &**key);
+            }
+            request.body(Full::new(call.body.clone()))
+        };
+        self.exchange(call.route, call.until, call.latest, Some(&call.txn), request).await
+    }
+
+    /// One request, whose last byte is out by `latest` or never, and the head of its answer; `message` is the
+    /// one that a call is with, none for a probe.
+    pub(super) async fn exchange(
+        &self,
+        route: RouteId,
+        until: Instant,
+        latest: Instant,
+        message: Option<&Txn>,
+        request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
+    ) -> (Report, Option<Rest>) {
+        loop {
+            let known = self.routes.borrow().get(&route).and_then(|r| Some((r.addr?, r.waits(route))));
+            let Some((addr, waits)) = known else { return (Outcome::Moot.into(), None) };
+            let (mut connection, kept) = match self.kept(route) {
+                Some(connection) => (connection, true),
+                None => match self.connect(addr, until.min(latest)).await {
+                    Ok(connection) => (connection, false),
+                    // That it had so little time says nothing of the receiver.
+                    Err(_) if Instant::now() >= latest => return (Outcome::Moot.into(), None),
+                    Err(outcome) => return (outcome.into(), None),
+                },
+            };
+            // A drain or a wait may have been told since the decision, or a key's window may be over, above all
+            // while a connection came up.
+            if !self.may_send(route) || Instant::now() >= latest {
+                self.keep(route, connection);
+                return (Outcome::Moot.into(), None);
+            }
+            let host = HeaderValue::from_str(&addr.to_string());
+            let Some(request) = host.ok().and_then(|host| request(host).ok()) else {
+                self.keep(route, connection);
+                return (Outcome::Moot.into(), None);
+            };
+            let meter = connection.meter.clone();
+            meter.reset();
+            if message.is_some() {
+                meter.count_in(self.figures.clone());
+            }
+            let answer = tokio::select! {
+                biased;
+                answer = connection.sender.send_request(request) => answer.map_err(|_| Failure::Broken),
+                () = meter.head_without_end(HEAD_TIME) => Err(Failure::Broken),
+                () = sleep_until(until) => Err(Failure::Silent),
+                () = meter.incomplete_at(latest) => Err(Failure::Silent),
+            };
+            let failure = match answer {
+                Ok(response) => match self.believe(response).await {
+                    Some((report, body)) => {
+                        tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), %addr, kept,
+                            outcome = ?report.outcome, wait = report.wait, "answered");
+                        if report.wait > 0.0 {
+                            self.wait(waits, report.wait);
+                            self.neighbour.tell(self.word(waits, report.wait));
+                        }
+                        return (report, Some((connection, body)));
+                    }
+                    None => Failure::Broken,
+                },
+                Err(failure) => failure,
+            };
+            tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), ?failure, kept,
+                started = meter.started(), complete = meter.complete(), heard = meter.heard().is_some(),
+                "broken off");
+            // The first line has told already: it is delivered, though the rest of the answer is no use.
+            if meter.complete() && meter.says_ok() {
+                return (Outcome::Ok.into(), None);
+            }
+            match failure {
+                // A kept connection that the receiver closed, or that is not quiet, before a byte of this went
+                // out: no attempt yet.
+                Failure::Broken if kept && !meter.started() => {}
+                // A receiver begins a call when its last byte has come: this one never ran.
+                _ if !meter.complete() => return (Outcome::ConnectFailed.into(), None),
+                // Something was answered that cannot be read: it ran, and the receiver is up.
+                _ if meter.heard().is_some() => return (Outcome::Error.into(), None),
+                Failure::Broken => return (Outcome::Reset.into(), None),
+                Failure::Silent => return (Outcome::Timeout.into(), None),
+            }
+        }
+    }
+
+    /// What an answer says, and what is left to read of it. That a call never ran is believed only of an answer
+    /// that is well-formed to its end: a spoilt one may say anything, and its call has run.
+    async fn believe(&self, response: Response<Incoming>) -> Option<(Report, Option<Incoming>)> {
+        let report = read(&response);
+        let body = response.into_body();
+        if matches!(report.outcome, Outcome::Ok | Outcome::Error) {
+            return Some((report, Some(body)));
+        }
+        drain(body).await.then_some((report, None))
+    }
+
+    /// Reads the rest of an answer, so that its connection can be used again.
+    pub(super) async fn finish(&self, route: RouteId, rest: Option<Rest>) {
+        let Some((mut connection, body)) = rest else { return };
+        let whole = match body {
+            Some(body) => drain(body).await,
+            None => true,
+        };
+        if whole && matches!(timeout(REST_OF_ANSWER, connection.sender.ready()).await, Ok(Ok(()))) {
+            self.keep(route, connection);
+        }
+    }
+}
+
+/// Reads a body to its end, if it has one that is near: receivers write at full speed what they write.
+async fn drain(body: Incoming) -> bool {
+    if body.size_hint().lower() > MAX_BODY as u64 {
+        return false;
+    }
+    let whole = timeout(REST_OF_ANSWER, Limited::new(body, MAX_BODY).collect()).await;
+    matches!(whole, Ok(Ok(_)))
+}
--- /dev/null
+++ b/crates/sender/src/outbound/tests.rs
@@ -0,0 +1,61 @@
+//! Calls over loopback sockets, with a receiver that the test plays.
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket};
+
+use super::*;
+
+mod answers;
+mod kept;
+mod late;
+
+const ROUTE: RouteId = RouteId(1);
+
+fn route(addr: SocketAddr, listing: Listing) -> Route {
+    let (receiver, zone) = ("r1".into(), "a".into());
+    Route { addr: Some(addr), receiver, zone, destination: DestinationId(7), apart: false, listing }
+}
+
+impl Outbound {
+    /// Routes, waits and idle connections that are remembered.
+    pub fn remembered(&self) -> usize {
+        let idle = self.idle.borrow().values().map(Vec::len).sum::<usize>();
+        self.routes.borrow().len() + self.waits.borrow().len() + idle
+    }
+}
+
+async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
+    let json = serde_json::json!({
+        "extra": {"calls_out": 4}, "kinds": ["k"], "lanes": [{"name": "safe", "deadline": 9000.0}],
+        "limits": {"max_attempts": 4, "most_held": 50, "connect_timeout": 5000.0, "idle_close": 15000.0}});
+    let settings = rudderspindle_decide::settings::read(&json).expect("settings");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let (to_engine, inputs) = mpsc::channel(16);
+    let figures = Rc::new(Figures::new(&[]));
+    let outbound = Rc::new(Outbound::new(&settings, 8, figures, Rc::default(), to_engine));
+    outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
+    (outbound, listener, inputs)
+}
+
+fn call() -> Call {
+    let (id, until) = (MessageId(3), Instant::now() + Duration::from_secs(5));
+    let (txn, body) = ("m1".into(), Bytes::from_static(b"text"));
+    Call { id, attempt: 0, route: ROUTE, txn, key: None, body, until, latest: until }
+}
+
+async fn next(inputs: &mut mpsc::Receiver<Input>) -> Input {
+    timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input")
+}
+
+/// Answers the call that comes.
+async fn answer(stream: &mut TcpStream, answer: &str) {
+    let mut buffer = [0; 1024];
+    let mut filled = 0;
+    while !buffer[..filled].ends_with(b"text") {
+        let n = stream.read(&mut buffer[filled..]).await.expect("a request");
+        assert!(n > 0, "the request ends too early");
+        filled += n;
+    }
+    let answer = format!("HTTP/1.1 {answer}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(answer.as_bytes()).await.expect("writable");
+}
--- /dev/null
+++ b/crates/sender/src/outbound/tests/late.rs
@@ -0,0 +1,60 @@
+//! What was decided and holds no more when the first byte could go.
+
+use super::*;
+
+/// The decision was right when it was made; a wait or a drain told before the call's first byte counts.
+#[tokio::test]
+async fn a_wait_or_a_drain_told_after_the_decision_stops_the_call() {
+    let test = async {
+        for drain in [false, true] {
+            let (outbound, listener, mut inputs) = set_up().await;
+            outbound.start(call());
+            if drain {
+                let addr = listener.local_addr().expect("an address");
+                outbound.list(ROUTE, route(addr, Listing::Draining));
+            } else {
+                outbound.wait(Waits::Destination(DestinationId(7)), 10_000.0);
+            }
+            let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+            assert_eq!(report, Outcome::Moot.into());
+        }
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+/// A key's window was open when the decision was made, and is over when the connection has come up: the
+/// receiver would no longer know the key, and the message would take effect twice.
+#[tokio::test]
+async fn a_call_whose_connection_comes_up_too_late_does_not_go() {
+    let test = async {
+        let (outbound, _, mut inputs) = set_up().await;
+        // With one connection that nobody accepts the queue is full, and the next one's SYN is dropped.
+        let slow = TcpSocket::new_v4().expect("a socket");
+        slow.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let slow = slow.listen(0).expect("a listener");
+        let addr = slow.local_addr().expect("an address");
+        let _first = TcpStream::connect(addr).await.expect("a connection");
+        outbound.list(ROUTE, route(addr, Listing::Ready));
+        let started = Instant::now();
+        let latest = started + Duration::from_millis(300);
+        outbound.start(Call { latest, ..call() });
+        let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+        // Not what a failure to connect would be: nothing is known of the receiver.
+        assert_eq!(report, Outcome::Moot.into());
+        assert!(Instant::now() >= latest);
+        // Nor does one go over a connection that is there, if its time was over before its task began.
+        let (outbound, listener, mut inputs) = set_up().await;
+        outbound.start(call());
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        answer(&mut stream, "200 OK").await;
+        next(&mut inputs).await;
+        while outbound.idle.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        outbound.start(Call { latest: Instant::now(), ..call() });
+        let Input::Outcome { report, .. } = next(&mut inputs).await else { panic!("no outcome") };
+        assert_eq!(report, Outcome::Moot.into());
+        assert!(stream.try_read(&mut [0; 1]).is_err(), "something of it went out");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
