A cancelled call tells its own outcome, once: no answer is lost, none is taken for another's

Seen: a cancel aborted the call's task and made up an outcome. If the answer was already among the engine's inputs it came second: a 200 ended the message in the engine while the module, which had taken the made-up outcome, still held it as waiting; its next Send found no message and its call and slot stayed out for ever. An answer that waited for room among the inputs was lost with the task: a 429 became 'may have run', a 200 a second call. A later attempt's handle and receiver were cleared by the earlier one's outcome, too. To blame: Engine::cancel and Engine::outcome (engine/attempts.rs), which took any outcome as that of the attempt out. Excluded: withdrawal and a failed commit, neither of which makes a second outcome for one attempt.

Now the engine asks (CallOut::cancel) and the call answers as ever: what it knows by then, else cancelled; with its last byte not written it never ran. The module sends again only after that, so outcomes cannot cross.

Two tests failed before the change: a_delivery_that_crosses_a_cancel_ends_the_message (the module still held it, 3 things remembered for 2) and a_refusal_that_waits_for_the_engine_counts_though_its_call_is_cancelled (on record as one that may have run).

--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -21,14 +21,13 @@
 use rudderspindle_journal::{self as journal, Notice, Ran, Status, Store, Txn};
 use rudderspindle_share::{Gate, Receiver};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 
 use crate::doings::Kept;
 use crate::event::{Answer, Call, Doings, Input, List, Member, Report, STORY, Submission};
 use crate::figures::{End, Figures, Standing};
 use crate::handover::{self, Neighbour, Word};
-use crate::outbound::{Outbound, Route};
+use crate::outbound::{CallOut, Outbound, Route};
 use crate::reports::Reports;
 
 /// After SIGTERM, calls start for so long: what starts later may not finish.
@@ -109,7 +108,7 @@
     next_route: u64,
     destinations: HashSet<DestinationId>,
     zones: Vec<String>,
-    calls: HashMap<MessageId, AbortHandle>,
+    calls: HashMap<MessageId, CallOut>,
     wakes: Vec<(Instant, u64)>,
     /// Inputs and events left for the next batch.
     deferred: Vec<Input>,
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -57,12 +57,9 @@
         Event::Outcome { id, attempt, outcome, retry_after: wait, closed }
     }
 
+    /// The call is asked to end. Its outcome comes from the call itself, as that of any other: the module sends
+    /// the message again only then, so that no attempt's outcome is taken for that of another.
     pub(super) fn cancel(&mut self, id: MessageId, attempt: u32) {
-        let out = self.held.get(&id).is_none_or(|held| held.attempts == attempt + 1);
-        if let Some(call) = self.calls.get(&id).filter(|_| out) {
-            call.abort();
-            let event = self.outcome(id, attempt, Outcome::Cancelled.into());
-            self.carried.push(event);
-        }
+        self.calls.get(&id).filter(|call| call.attempt == attempt).into_iter().for_each(CallOut::cancel);
     }
 }
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
 
+mod cancels;
+
 /// An engine with one receiver for destination 7, and its inputs' other end.
 fn engine(state: &std::path::Path) -> (Engine, mpsc::Sender<Input>) {
     let json = serde_json::json!({
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -21,8 +21,8 @@
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::{MAX_BODY, Txn};
 use tokio::net::TcpStream;
-use tokio::sync::{Semaphore, mpsc};
-use tokio::task::{AbortHandle, JoinHandle, spawn_local};
+use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::event::{Call, IDEMPOTENCY_KEY, Input, Report, STORY};
@@ -38,6 +38,21 @@
 const SWEEP: Duration = Duration::from_millis(500);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A call that is out, as its owner holds it.
+#[derive(Debug)]
+pub struct CallOut {
+    pub attempt: u32,
+    cancelled: Rc<Notify>,
+}
+
+impl CallOut {
+    /// Asks for the call's end. Its one outcome comes as ever, and is what the call knows by then: an answer
+    /// that has been read, or that is on its way to the host, is not lost.
+    pub fn cancel(&self) {
+        self.cancelled.notify_one();
+    }
+}
+
 /// Everything that calls share.
 #[derive(Debug)]
 pub struct Outbound {
@@ -115,16 +130,17 @@
         }
     }
 
-    /// Starts a call; what comes of it is told to the host.
-    pub fn start(self: &Rc<Self>, call: Call) -> AbortHandle {
-        let this = self.clone();
-        let task = async move {
+    /// Starts a call; what comes of it is told to the host, once.
+    pub fn start(self: &Rc<Self>, call: Call) -> CallOut {
+        let (this, cancelled) = (self.clone(), Rc::new(Notify::new()));
+        let out = CallOut { attempt: call.attempt, cancelled: cancelled.clone() };
+        spawn_local(async move {
             let (id, attempt) = (call.id, call.attempt);
-            let (report, rest) = this.call(&call).await;
+            let (report, rest) = this.call(&call, &cancelled).await;
             let _ = this.host.send(Input::Outcome { id, attempt, report }).await;
             this.finish(call.route, rest).await;
-        };
-        spawn_local(task).abort_handle()
+        });
+        out
     }
 
     /// Starts a probe; what comes of it is told to the host.
@@ -134,7 +150,7 @@
             let until = Instant::now() + PROBE_TIMEOUT;
             let request =
                 |host: HeaderValue| Request::get("/-/healthy").header(HOST, host).body(Full::default());
-            let (report, rest) = this.exchange(route, until, until, None, request).await;
+            let (report, rest) = this.exchange(route, (until, until), &Notify::new(), None, request).await;
             let _ = this.host.send(Input::Probed { route, outcome: report.outcome }).await;
             this.finish(route, rest).await;
         });
--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -19,10 +19,12 @@
     Broken,
     /// Time is up.
     Silent,
+    /// Its owner wants no answer any more.
+    Cancelled,
 }
 
 impl Outbound {
-    pub(super) async fn call(&self, call: &Call) -> (Report, Option<Rest>) {
+    pub(super) async fn call(&self, call: &Call, cancelled: &Notify) -> (Report, Option<Rest>) {
         let request = |host: HeaderValue| {
             let left = call.until.saturating_duration_since(Instant::now()).as_secs_f64();
             let mut request = Request::post("/v1/messages")
@@ -34,30 +36,39 @@
             }
             request.body(Full::new(call.body.clone()))
         };
-        self.exchange(call.route, call.until, call.latest, Some(&call.txn), request).await
+        self.exchange(call.route, (call.until, call.latest), cancelled, Some(&call.txn), request).await
     }
 
-    /// One request, whose last byte is out by `latest` or never, and the head of its answer; `message` is the
-    /// one that a call is with, none for a probe.
+    /// One request, answered by `until` or given up, whose last byte is out by `latest` or never, and the head of
+    /// its answer; `message` is the one that a call is with, none for a probe.
     pub(super) async fn exchange(
         &self,
         route: RouteId,
-        until: Instant,
-        latest: Instant,
+        (until, latest): (Instant, Instant),
+        cancelled: &Notify,
         message: Option<&Txn>,
         request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
     ) -> (Report, Option<Rest>) {
         loop {
             let known = self.routes.borrow().get(&route).and_then(|r| Some((r.addr?, r.waits(route))));
             let Some((addr, waits)) = known else { return (Outcome::Moot.into(), None) };
-            let (mut connection, kept) = match self.kept(route) {
-                Some(connection) => (connection, true),
-                None => match self.connect(addr, until.min(latest)).await {
-                    Ok(connection) => (connection, false),
-                    // That it had so little time says nothing of the receiver.
-                    Err(_) if Instant::now() >= latest => return (Outcome::Moot.into(), None),
-                    Err(outcome) => return (outcome.into(), None),
-                },
+            let kept = self.kept(route);
+            let was_kept = kept.is_some();
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => {
+                    let connected = tokio::select! {
+                        biased;
+                        () = cancelled.notified() => Err(Outcome::Moot),
+                        connected = self.connect(addr, until.min(latest)) => connected,
+                    };
+                    match connected {
+                        Ok(connection) => connection,
+                        // That it had so little time says nothing of the receiver.
+                        Err(_) if Instant::now() >= latest => return (Outcome::Moot.into(), None),
+                        Err(outcome) => return (outcome.into(), None),
+                    }
+                }
             };
             // A drain or a wait may have been told since the decision, or a key's window may be over, above all
             // while a connection came up.
@@ -81,11 +92,12 @@
                 () = meter.head_without_end(HEAD_TIME) => Err(Failure::Broken),
                 () = sleep_until(until) => Err(Failure::Silent),
                 () = meter.incomplete_at(latest) => Err(Failure::Silent),
+                () = cancelled.notified() => Err(Failure::Cancelled),
             };
             let failure = match answer {
                 Ok(response) => match self.believe(response).await {
                     Some((report, body)) => {
-                        tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), %addr, kept,
+                        tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), %addr, kept = was_kept,
                             outcome = ?report.outcome, wait = report.wait, "answered");
                         if report.wait > 0.0 {
                             self.wait(waits, report.wait);
@@ -97,7 +109,7 @@
                 },
                 Err(failure) => failure,
             };
-            tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), ?failure, kept,
+            tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), ?failure, kept = was_kept,
                 started = meter.started(), complete = meter.complete(), heard = meter.heard().is_some(),
                 "broken off");
             // The first line has told already: it is delivered, though the rest of the answer is no use.
@@ -107,7 +119,9 @@
             match failure {
                 // A kept connection that the receiver closed, or that is not quiet, before a byte of this went
                 // out: no attempt yet.
-                Failure::Broken if kept && !meter.started() => {}
+                Failure::Broken if was_kept && !meter.started() => {}
+                Failure::Cancelled if !meter.complete() => return (Outcome::Moot.into(), None),
+                Failure::Cancelled => return (Outcome::Cancelled.into(), None),
                 // A receiver begins a call when its last byte has come: this one never ran.
                 _ if !meter.complete() => return (Outcome::ConnectFailed.into(), None),
                 // Something was answered that cannot be read: it ran, and the receiver is up.
