May a call have run? Written once, by the protocol's table; an early answer is no answer to it

Whether a call may have run was spread over the match at the end of exchange, believe, read, the engine's list of outcomes and the module's. Now outbound/outcome.rs holds the table: how far the request got, what came back, why nothing more is waited for; Outcome::may_have_run says it of each outcome, for engine and module.

Found by writing it down, and mended: - A 200 or 500 that came before the request's last byte was believed, and the rest of the call still went out (exchange took any head that hyper had read). It is an answer to something else: the call is given up and never ran. One that turns the call away early is believed, and no further byte follows it. - The rest of a refusal was read for up to half a second beyond the call's time: the message's end, owed 300 ms after its time, came too late. The call's time bounds it now. - Over dead kept connections a call could start when its own time was over.

Seen to fail: believing early answers (200 read as delivered), keeping their connection (all of the call came), taking a spoilt answer for 'never', believing a refusal that is cut in its body, sending again after a break (the call came twice). Answers are cut at every byte, by close and by reset, and split by proptest.

--- a/crates/decide/src/decide/outcomes.rs
+++ b/crates/decide/src/decide/outcomes.rs
@@ -20,7 +20,7 @@
         if outcome == Outcome::Spent {
             m.attempts = self.settings.max_attempts;
         }
-        if matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+        if outcome.may_have_run() && outcome != Outcome::Ok {
             m.maybe_ran = m.maybe_ran.or(ran);
             // Its key rests while the attempt may still be running.
             let running = outcome != Outcome::Error;
--- a/crates/decide/src/interface/event.rs
+++ b/crates/decide/src/interface/event.rs
@@ -56,6 +56,16 @@
     Spent,
 }
 
+impl Outcome {
+    /// Whether the attempt may have taken effect, or may yet.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Self::Ok | Self::Error | Self::Timeout | Self::Reset | Self::Cancelled => true,
+            Self::Full | Self::ConnectFailed | Self::Moot | Self::Spent => false,
+        }
+    }
+}
+
 /// What a sender is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -46,11 +46,7 @@
                 }
                 self.release(id);
             } else {
-                let never = matches!(
-                    outcome,
-                    Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Spent
-                );
-                self.store.outcome(&held.txn, attempt, !never);
+                self.store.outcome(&held.txn, attempt, outcome.may_have_run());
             }
         }
         let closed = !self.held.contains_key(&id);
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -1,8 +1,8 @@
 //! Calls to receivers: the routes as last told, the pool of kept connections, calls and probes.
 
-mod answer;
 mod backoff;
 mod exchange;
+mod outcome;
 mod pool;
 
 use std::cell::RefCell;
@@ -17,7 +17,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::{MAX_BODY, Txn};
 use tokio::net::TcpStream;
@@ -29,8 +29,8 @@
 use crate::figures::Figures;
 use crate::handover::{Neighbour, Word};
 use crate::meter::{MAX_BUFFER, Meter, Metered};
-use answer::*;
 use backoff::Waits;
+use outcome::LONGEST_WAIT;
 use pool::{Connection, IDLE_MARGIN};
 
 pub use backoff::Route;
--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -1,5 +1,6 @@
 //! One call or probe: a request over one connection, and what comes back.
 
+use super::outcome::{End, Heard, Sent, answered, answers, unanswered};
 use super::*;
 
 const X_TXN: HeaderName = HeaderName::from_static("x-txn");
@@ -12,17 +13,6 @@
 /// A connection, and the body that has not been read from it.
 pub(super) type Rest = (Connection, Option<Incoming>);
 
-/// Why a call has no answer that can be read.
-#[derive(Clone, Copy, Debug)]
-enum Failure {
-    /// The connection ended, or what came is no answer.
-    Broken,
-    /// Time is up.
-    Silent,
-    /// Its owner wants no answer any more.
-    Cancelled,
-}
-
 impl Outbound {
     pub(super) async fn call(&self, call: &Call, cancelled: &Notify) -> (Report, Option<Rest>) {
         let request = |host: HeaderValue| {
@@ -49,37 +39,34 @@
         message: Option<&Txn>,
         request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
     ) -> (Report, Option<Rest>) {
+        let moot = || (Outcome::Moot.into(), None);
         loop {
             let known = self.routes.borrow().get(&route).and_then(|r| Some((r.addr?, r.waits(route))));
-            let Some((addr, waits)) = known else { return (Outcome::Moot.into(), None) };
-            let kept = self.kept(route);
-            let was_kept = kept.is_some();
-            let mut connection = match kept {
-                Some(connection) => connection,
+            let Some((addr, waits)) = known else { return moot() };
+            let (mut connection, kept) = match self.kept(route) {
+                Some(connection) => (connection, true),
                 None => {
                     let connected = tokio::select! {
                         biased;
-                        () = cancelled.notified() => Err(Outcome::Moot),
+                        () = cancelled.notified() => Err(End::Cancelled),
                         connected = self.connect(addr, until.min(latest)) => connected,
                     };
                     match connected {
-                        Ok(connection) => connection,
+                        Ok(connection) => (connection, false),
                         // That it had so little time says nothing of the receiver.
-                        Err(_) if Instant::now() >= latest => return (Outcome::Moot.into(), None),
-                        Err(outcome) => return (outcome.into(), None),
+                        Err(_) if Instant::now() >= latest => return moot(),
+                        Err(end) => return (unanswered(Sent::Nothing, Heard::Nothing, end).into(), None),
                     }
                 }
             };
-            // A drain or a wait may have been told since the decision, or a key's window may be over, above all
-            // while a connection came up.
-            if !self.may_send(route) || Instant::now() >= latest {
-                self.keep(route, connection);
-                return (Outcome::Moot.into(), None);
-            }
+            // A drain or a wait may have been told since the decision, or a key's window or the call's time may
+            // be over, above all while connections came up or turned out to be dead.
+            let too_late = Instant::now() >= latest.min(until);
             let host = HeaderValue::from_str(&addr.to_string());
-            let Some(request) = host.ok().and_then(|host| request(host).ok()) else {
+            let request = host.ok().and_then(|host| request(host).ok());
+            let Some(request) = request.filter(|_| self.may_send(route) && !too_late) else {
                 self.keep(route, connection);
-                return (Outcome::Moot.into(), None);
+                return moot();
             };
             let meter = connection.meter.clone();
             meter.reset();
@@ -88,66 +75,63 @@
             }
             let answer = tokio::select! {
                 biased;
-                answer = connection.sender.send_request(request) => answer.map_err(|_| Failure::Broken),
-                () = meter.head_without_end(HEAD_TIME) => Err(Failure::Broken),
-                () = sleep_until(until) => Err(Failure::Silent),
-                () = meter.incomplete_at(latest) => Err(Failure::Silent),
-                () = cancelled.notified() => Err(Failure::Cancelled),
+                answer = connection.sender.send_request(request) => answer.map_err(|_| End::Broken),
+                () = meter.head_without_end(HEAD_TIME) => Err(End::Broken),
+                () = sleep_until(until) => Err(End::TimedOut),
+                () = meter.incomplete_at(latest) => Err(End::TimedOut),
+                () = cancelled.notified() => Err(End::Cancelled),
             };
-            let failure = match answer {
-                Ok(response) => match self.believe(response).await {
+            let end = match answer {
+                Ok(response) => match self.believe(response, Sent::of(&meter), until).await {
                     Some((report, body)) => {
-                        tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), %addr, kept = was_kept,
+                        tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), %addr, kept,
                             outcome = ?report.outcome, wait = report.wait, "answered");
                         if report.wait > 0.0 {
                             self.wait(waits, report.wait);
                             self.neighbour.tell(self.word(waits, report.wait));
                         }
-                        return (report, Some((connection, body)));
+                        // Nothing more of a call that was turned away before its last byte.
+                        let rest = (Sent::of(&meter) == Sent::Whole).then_some((connection, body));
+                        return (report, rest);
                     }
-                    None => Failure::Broken,
+                    None => End::Broken,
                 },
-                Err(failure) => failure,
+                Err(end) => end,
             };
-            tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), ?failure, kept = was_kept,
-                started = meter.started(), complete = meter.complete(), heard = meter.heard().is_some(),
-                "broken off");
-            // The first line has told already: it is delivered, though the rest of the answer is no use.
-            if meter.complete() && meter.says_ok() {
-                return (Outcome::Ok.into(), None);
-            }
-            match failure {
-                // A kept connection that the receiver closed, or that is not quiet, before a byte of this went
-                // out: no attempt yet.
-                Failure::Broken if was_kept && !meter.started() => {}
-                Failure::Cancelled if !meter.complete() => return (Outcome::Moot.into(), None),
-                Failure::Cancelled => return (Outcome::Cancelled.into(), None),
-                // A receiver begins a call when its last byte has come: this one never ran.
-                _ if !meter.complete() => return (Outcome::ConnectFailed.into(), None),
-                // Something was answered that cannot be read: it ran, and the receiver is up.
-                _ if meter.heard().is_some() => return (Outcome::Error.into(), None),
-                Failure::Broken => return (Outcome::Reset.into(), None),
-                Failure::Silent => return (Outcome::Timeout.into(), None),
+            let (sent, heard) = (Sent::of(&meter), Heard::of(&meter));
+            tracing::debug!(target: STORY, txn = message.map(|txn| &**txn), ?end, kept, ?sent, ?heard, "broken off");
+            // A kept connection that the receiver closed, or that is not quiet, before a byte of this went out:
+            // no attempt yet.
+            if !(kept && end == End::Broken && sent == Sent::Nothing) {
+                return (unanswered(sent, heard, end).into(), None);
             }
         }
     }
 
     /// What an answer says, and what is left to read of it. That a call never ran is believed only of an answer
     /// that is well-formed to its end: a spoilt one may say anything, and its call has run.
-    async fn believe(&self, response: Response<Incoming>) -> Option<(Report, Option<Incoming>)> {
-        let report = read(&response);
+    async fn believe(
+        &self,
+        response: Response<Incoming>,
+        sent: Sent,
+        until: Instant,
+    ) -> Option<(Report, Option<Incoming>)> {
+        let report = answered(response.status(), response.headers());
+        if !answers(sent, report.outcome) {
+            return None;
+        }
         let body = response.into_body();
-        if matches!(report.outcome, Outcome::Ok | Outcome::Error) {
+        if report.outcome.may_have_run() {
             return Some((report, Some(body)));
         }
-        drain(body).await.then_some((report, None))
+        drain(body, until).await.then_some((report, None))
     }
 
     /// Reads the rest of an answer, so that its connection can be used again.
     pub(super) async fn finish(&self, route: RouteId, rest: Option<Rest>) {
         let Some((mut connection, body)) = rest else { return };
         let whole = match body {
-            Some(body) => drain(body).await,
+            Some(body) => drain(body, Instant::now() + REST_OF_ANSWER).await,
             None => true,
         };
         if whole && matches!(timeout(REST_OF_ANSWER, connection.sender.ready()).await, Ok(Ok(()))) {
@@ -157,10 +141,11 @@
 }
 
 /// Reads a body to its end, if it has one that is near: receivers write at full speed what they write.
-async fn drain(body: Incoming) -> bool {
+async fn drain(body: Incoming, until: Instant) -> bool {
     if body.size_hint().lower() > MAX_BODY as u64 {
         return false;
     }
-    let whole = timeout(REST_OF_ANSWER, Limited::new(body, MAX_BODY).collect()).await;
+    let until = until.min(Instant::now() + REST_OF_ANSWER);
+    let whole = timeout_at(until, Limited::new(body, MAX_BODY).collect()).await;
     matches!(whole, Ok(Ok(_)))
 }
--- a/crates/sender/src/outbound/pool.rs
+++ b/crates/sender/src/outbound/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to receivers, and those of them that are kept for further calls.
 
+use super::outcome::End;
 use super::*;
 
 /// An idle connection is given up so long before the receiver closes it, as its clock started earlier than
@@ -30,12 +31,12 @@
         }
     }
 
-    pub(super) async fn connect(&self, addr: SocketAddr, until: Instant) -> Result<Connection, Outcome> {
+    pub(super) async fn connect(&self, addr: SocketAddr, until: Instant) -> Result<Connection, End> {
         let permit = match self.sockets.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
                 self.close_oldest();
-                self.sockets.clone().try_acquire_owned().map_err(|_| Outcome::Moot)?
+                self.sockets.clone().try_acquire_owned().map_err(|_| End::Withheld)?
             }
         };
         let until = until.min(Instant::now() + self.connect_timeout);
@@ -53,7 +54,7 @@
             });
             Some(Connection { sender, addr, meter, task, idle_since: Instant::now() })
         };
-        timeout_at(until, open).await.ok().flatten().ok_or(Outcome::ConnectFailed)
+        timeout_at(until, open).await.ok().flatten().ok_or(End::Broken)
     }
 
     fn close_oldest(&self) {
--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -1,5 +1,6 @@
 //! Calls over loopback sockets, with a receiver that the test plays.
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket};
 
@@ -8,6 +9,7 @@
 mod answers;
 mod kept;
 mod late;
+mod outcomes;
 
 const ROUTE: RouteId = RouteId(1);
 
@@ -47,8 +49,8 @@
     timeout(Duration::from_secs(20), inputs.recv()).await.expect("in time").expect("an input")
 }
 
-/// Answers the call that comes.
-async fn answer(stream: &mut TcpStream, answer: &str) {
+/// Reads the call that comes, to its last byte.
+async fn request(stream: &mut TcpStream) {
     let mut buffer = [0; 1024];
     let mut filled = 0;
     while !buffer[..filled].ends_with(b"text") {
@@ -56,6 +58,46 @@
         assert!(n > 0, "the request ends too early");
         filled += n;
     }
+}
+
+/// Answers the call that comes.
+async fn answer(stream: &mut TcpStream, answer: &str) {
+    request(stream).await;
     let answer = format!("HTTP/1.1 {answer}\r\nContent-Length: 0\r\n\r\n");
     stream.write_all(answer.as_bytes()).await.expect("writable");
 }
+
+/// A body of which only a part leaves the sender while nobody reads at a [`narrow`] listener.
+const LARGE: usize = 60_000;
+
+/// A listener whose connections take little that is not read.
+fn narrow() -> TcpListener {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(2_048).expect("a window");
+    SockRef::from(&socket).set_tcp_mss(536).expect("a segment size");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    socket.listen(16).expect("a listener")
+}
+
+/// The bytes that still come until the connection ends, by a reset or not.
+async fn read_to_end(stream: &mut TcpStream) -> usize {
+    let (mut got, mut buffer) = (0, vec![0; 4096]);
+    while let Ok(n @ 1..) = timeout(Duration::from_secs(20), stream.read(&mut buffer)).await.expect("an end")
+    {
+        got += n;
+    }
+    got
+}
+
+/// For asking whether something is there at this moment.
+trait NowOrNever: Future + Sized {
+    fn now_or_never(self) -> Option<Self::Output> {
+        let mut context = std::task::Context::from_waker(std::task::Waker::noop());
+        match std::pin::pin!(self).poll(&mut context) {
+            std::task::Poll::Ready(output) => Some(output),
+            std::task::Poll::Pending => None,
+        }
+    }
+}
+
+impl<F: Future> NowOrNever for F {}
