Configurations that cannot work are refused by key, with what would be right

Need: a missing effect silently meant single_shot, an unknown key group silently meant the route, `window` and `deadline` errors named neither class nor place, disk_mb 0 started and refused every message, fractions of tenants were not read, 2.5 slots were 2 and -300 were 0 by a cast, and limits, listen or known of another type gave a line and a column without the key. Where peers_total was missing too, a warning came before the reason, so the start ended in two lines.

Change: one reader (`Field`) holds a value and its key and reads it with type and range; settings, limits and the configuration's own keys all go through it. The line is `KEY is VALUE: WHAT is wanted`, the value cut at 60 characters. New are refusals of a missing or unknown effect, an unknown group of a keyed class, a class without a name or with another's, fractions outside 0 to 1 or of more than 1 + 1e-6 in all, counts that are not whole or beyond u32, too few sockets (the least is named), no disk, negative memory. Window and group are read in a keyed class only, as before; a target beyond the deadline, unknown keys, 8.0 for 8 and every key that was optional are still taken. Doubts about peers are logged only once the rest can work. The check of `Settings` made in code stays. Two checks that could not fail any more are gone (`Names`, `FewSockets`). Three tests' configurations had no effect; they name one now.

--- a/crates/daemon/tests/rights.rs
+++ b/crates/daemon/tests/rights.rs
@@ -87,7 +87,8 @@
     std::fs::write(&file, "[share]\nbound = \"tight\"\n").expect("written");
     let config = serde_json::json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
         "limits": {"sockets": 64, "disk_mb": 3}, "settings": {"extra": {"calls_out": 4}, "kinds": ["k"],
-        "limits": {"max_attempts": 4, "most_held": 50}, "lanes": [{"name": "c", "deadline": 9000.0}]}});
+        "limits": {"max_attempts": 4, "most_held": 50},
+        "lanes": [{"name": "c", "effect": "free", "deadline": 9000.0}]}});
     std::fs::write(folder.path().join("config.json"), config.to_string()).expect("written");
     let mut program = tokio::process::Command::new(env!("CARGO_BIN_EXE_rudderspindle"));
     program.env("RELAY_CONFIG", folder.path().join("config.json")).env("RELAY_STATE", folder.path());
--- a/crates/decide/src/quota/tests.rs
+++ b/crates/decide/src/quota/tests.rs
@@ -3,7 +3,7 @@
 
 fn settings() -> Settings {
     let json = serde_json::json!({"extra": {"calls_out": 4}, "limits": {"max_attempts": 4, "most_held": 50},
-        "kinds": ["k"], "lanes": [{"deadline": 9000.0}], "peers_total": 10,
+        "kinds": ["k"], "lanes": [{"effect": "single_shot", "deadline": 9000.0}], "peers_total": 10,
         "projects": [{"quota_per_s": 100.0}, {"quota_per_s": 100.0}]});
     crate::settings::read(&json).expect("settings")
 }
--- a/crates/decide/src/settings.rs
+++ b/crates/decide/src/settings.rs
@@ -1,19 +1,23 @@
 //! The platform's settings (JSON) in the interface's terms. No decision.
 
-use crate::interface::*;
+mod field;
+
 use serde_json::Value;
 
-/// Settings that cannot be read; says which, and why.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReadError(String);
+use crate::interface::*;
+pub use field::{Field, Range, ReadError};
 
-impl std::fmt::Display for ReadError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "unreadable settings: {}", self.0)
-    }
-}
+/// The key that the settings stand under in a configuration.
+const KEY: &str = "settings";
+/// What the parts of tenants may sum to: the rest is rounding in what wrote them.
+const MOST_IN_ALL: f64 = 1.0 + 1e-6;
 
-impl std::error::Error for ReadError {}
+const SPAN: Range = Range::new("a number of ms above 0", |x| x > 0.0);
+const WAIT: Range = Range::new("a number of ms, 0 or more", |x| x >= 0.0);
+const NOT_NEGATIVE: Range = Range::new("a number, 0 or more", |x| x >= 0.0);
+const PART: Range = Range::new("a number from 0 to 1", |x| (0.0..=1.0).contains(&x));
+const COLD_FROM: Range = Range::new("a number above 0, 1 at the most,", |x| x > 0.0 && x <= 1.0);
+const MULTIPLE: Range = Range::new("a number above 0", |x| x > 0.0);
 
 /// What the settings call the things that the interface numbers, by index.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -32,9 +36,10 @@
 ///
 /// # Errors
 ///
-/// [`ReadError`] if the text is no JSON or a setting is not of its type.
+/// [`ReadError`] if the text is no JSON or a setting is not of its type and range.
 pub fn parse(info: &[u8]) -> Result<Settings, ReadError> {
-    let json: Value = serde_json::from_slice(info).map_err(|e| ReadError(e.to_string()))?;
+    let json: Value =
+        serde_json::from_slice(info).map_err(|e| ReadError(format!("unreadable settings: {e}")))?;
     read(&json)
 }
 
@@ -42,13 +47,24 @@
 ///
 /// # Errors
 ///
-/// [`ReadError`] if a name is no text.
+/// [`ReadError`] if a name is no text, or one of a class is not its own.
 pub fn names(json: &Value) -> Result<Names, ReadError> {
-    let root = Node { value: json, path: String::new() };
-    let text = |n: Node<'_>| Ok(n.text_or("")?.to_owned());
-    let named = |n: Node<'_>| Ok(n.child("name").text_or("")?.to_owned());
+    let root = Field::new(json, KEY);
+    let text = |field: Field<'_>| Ok(field.text_or("")?.to_owned());
+    let named = |field: Field<'_>| text(field.child("name"));
+    let lanes = root.child("lanes");
+    let classes = lanes.map(named)?;
+    for (i, name) in classes.iter().enumerate() {
+        let field = lanes.at(i).child("name");
+        if name.is_empty() {
+            return Err(field.refuse("a name"));
+        }
+        if let Some(first) = classes[..i].iter().position(|other| other == name) {
+            return Err(field.refuse(&format!("another name than that of {KEY}.lanes[{first}]")));
+        }
+    }
     Ok(Names {
-        classes: root.child("lanes").map(named)?,
+        classes,
         tenants: root.child("projects").map(named)?,
         zones: root.child("azs").map(text)?,
         kinds: root.child("kinds").map(text)?,
@@ -59,147 +75,113 @@
 ///
 /// # Errors
 ///
-/// [`ReadError`] if a setting is not of its type.
+/// [`ReadError`] if a setting is not of its type and range.
 pub fn read(json: &Value) -> Result<Settings, ReadError> {
-    let root = Node { value: json, path: String::new() };
+    let root = Field::new(json, KEY);
     let (extra, limits, rules) = (root.child("extra"), root.child("limits"), root.child("rules"));
-    let tariffs = root.child("tariffs");
-    let bundles = extra.child("bundle_max");
-    let apart = extra.child("kind_apart");
-    let names = root.child("kinds");
-    let kinds = (0..names.len().max(bundles.len()).max(apart.len()))
-        .map(|i| {
-            Ok(Kind {
-                bundle_max: bundles.at(i).number_or(1.0)? as usize,
-                routes_apart: apart.at(i).flag_or(false)?,
-            })
-        })
-        .collect::<Result<_, ReadError>>()?;
+    let kinds = kinds(&root)?;
+    if kinds.is_empty() {
+        return Err(root
+            .child("kinds")
+            .refuse("a list of one at least, as there is no kind of destination otherwise,"));
+    }
+    let classes = root.child("lanes").map(class)?;
+    if classes.is_empty() {
+        return Err(root
+            .child("lanes")
+            .refuse("a list of one at least, as there is no class of message otherwise,"));
+    }
     Ok(Settings {
-        zone: root.child("az").number_or(0.0)? as u8,
-        peers_total: root.child("peers_total").number_or(1.0)? as usize,
-        classes: root.child("lanes").map(class)?,
+        zone: zone(&root.child("az"))?,
+        peers_total: root.child("peers_total").whole_or(1, 0)? as usize,
+        classes,
         kinds,
-        tenants: root
-            .child("projects")
-            .map(|n| Ok(Tenant { quota_per_s: n.child("quota_per_s").number_or(0.0)? }))?,
-        over_share_worth: root.child("over_share_worth").number_or(1.0)?,
-        late_decay: match extra.child("loses_worth").text_or("linear")? {
-            "linear" => LateDecay::Linear,
-            "halving" => LateDecay::Halving,
-            other => return Err(ReadError(format!("extra.loses_worth is {other:?}"))),
-        },
-        slots: extra.child("calls_out").number()? as usize,
-        most_held: limits.child("most_held").number()? as usize,
-        max_attempts: limits.child("max_attempts").number()? as u32,
-        max_retry_after: limits.child("max_retry_after").number_or(0.0)?,
+        tenants: tenants(&root.child("projects"))?,
+        over_share_worth: root.child("over_share_worth").number_or(1.0, Range::ANY)?,
+        late_decay: extra
+            .child("loses_worth")
+            .word_or(LateDecay::Linear, &[("linear", LateDecay::Linear), ("halving", LateDecay::Halving)])?,
+        slots: extra.child("calls_out").whole(1)? as usize,
+        most_held: limits.child("most_held").whole(1)? as usize,
+        max_attempts: limits.child("max_attempts").whole(1)?,
+        max_retry_after: limits.child("max_retry_after").number_or(0.0, Range::ANY)?,
         retry_after: limits.child("retry_after").flag_or(false)?,
         probing: limits.child("probing").flag_or(false)?,
         cancelling: limits.child("cancelling").flag_or(false)?,
-        streams_per_connection: limits.child("max_streams").number_or(1.0)? as usize,
-        idle_close: limits.child("idle_close").number_or(0.0)?,
-        connect_timeout: limits.child("connect_timeout").number_or(0.0)?,
-        rate_hint: match root.child("weights").text_or("off")? {
-            "off" => RateHint::None,
-            "nominal" => RateHint::Nominal,
-            "rough" => RateHint::Rough,
-            other => return Err(ReadError(format!("weights is {other:?}"))),
-        },
-        discovery: match root.child("discovery").text_or("pushed")? {
-            "pushed" => Discovery::Pushed,
-            "on_request" => Discovery::OnRequest { ask_within: rules.child("ask_within").number_or(0.0)? },
-            other => return Err(ReadError(format!("discovery is {other:?}"))),
-        },
-        cross_zone_price: tariffs.child("cross_zone").number_or(0.0)?,
-        zone_fees: extra.child("fee_by_zone").map(|n| n.number())?,
-        cold_from: rules.child("cold_from").number_or(1.0)?,
-        warm_within: rules.child("warm_within").number_or(0.0)?,
-        fall_multiple: rules.child("fall_multiple").number_or(1.0)?,
-        tip_after: rules.child("tip_after").number_or(0.0)?,
-        turn_gap: rules.child("turn_gap").number_or(0.0)?,
-        tick: root.child("tick").number_or(0.0)?,
+        streams_per_connection: limits.child("max_streams").whole_or(1, 0)? as usize,
+        idle_close: limits.child("idle_close").number_or(0.0, Range::ANY)?,
+        connect_timeout: limits.child("connect_timeout").number_or(0.0, Range::ANY)?,
+        rate_hint: root.child("weights").word_or(
+            RateHint::None,
+            &[("off", RateHint::None), ("nominal", RateHint::Nominal), ("rough", RateHint::Rough)],
+        )?,
+        discovery: discovery(&root)?,
+        cross_zone_price: root.child("tariffs").child("cross_zone").number_or(0.0, Range::ANY)?,
+        zone_fees: extra.child("fee_by_zone").map(|fee| fee.number(Range::ANY))?,
+        cold_from: rules.child("cold_from").number_or(1.0, COLD_FROM)?,
+        warm_within: rules.child("warm_within").number_or(0.0, WAIT)?,
+        fall_multiple: rules.child("fall_multiple").number_or(1.0, MULTIPLE)?,
+        tip_after: rules.child("tip_after").number_or(0.0, WAIT)?,
+        turn_gap: rules.child("turn_gap").number_or(0.0, WAIT)?,
+        tick: root.child("tick").number_or(0.0, WAIT)?,
     })
 }
 
-fn class(node: Node<'_>) -> Result<Class, ReadError> {
-    let effect = match node.child("effect").text_or("single_shot")? {
-        "free" => Effect::Safe,
-        "single_shot" => Effect::Unsafe,
-        "guarded" => Effect::Keyed {
-            group: match node.child("group").text_or("cell")? {
-                "all" => KeyGroup::All,
-                "zone" => KeyGroup::Zone,
-                _ => KeyGroup::Route,
-            },
-            window: node.child("window").number()?,
-        },
-        other => return Err(ReadError(format!("effect is {other:?}"))),
-    };
-    let deadline = node.child("deadline").number()?;
-    Ok(Class {
-        worth: node.child("credit").number_or(1.0)?,
-        aim: node.child("target").number_or(deadline)?,
-        aim_stretch: node.child("aim_stretch").number_or(0.0)?,
-        deadline,
-        late_worth: node.child("late_worth").number_or(0.0)?,
-        effect,
-        ordered: node.child("in_order").flag_or(false)?,
-    })
+fn zone(field: &Field<'_>) -> Result<u8, ReadError> {
+    u8::try_from(field.whole_or(0, 0)?).map_err(|_| field.refuse("a whole number from 0 to 255"))
 }
 
-/// A value and where it stands, for messages.
-struct Node<'a> {
-    value: &'a Value,
-    path: String,
+fn kinds(root: &Field<'_>) -> Result<Vec<Kind>, ReadError> {
+    let (names, extra) = (root.child("kinds"), root.child("extra"));
+    let (bundles, apart) = (extra.child("bundle_max"), extra.child("kind_apart"));
+    let kind = |i| {
+        let bundle_max = bundles.at(i).whole_or(1, 1)? as usize;
+        Ok(Kind { bundle_max, routes_apart: apart.at(i).flag_or(false)? })
+    };
+    (0..names.len().max(bundles.len()).max(apart.len())).map(kind).collect()
 }
 
-impl<'a> Node<'a> {
-    fn child(&self, key: &str) -> Node<'a> {
-        let path = if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) };
-        Node { value: self.value.get(key).unwrap_or(&Value::Null), path }
-    }
-
-    fn at(&self, index: usize) -> Node<'a> {
-        let path = format!("{}[{index}]", self.path);
-        Node { value: self.value.get(index).unwrap_or(&Value::Null), path }
-    }
-
-    fn len(&self) -> usize {
-        self.value.as_array().map_or(0, Vec::len)
-    }
-
-    fn map<T>(&self, read: impl Fn(Node<'a>) -> Result<T, ReadError>) -> Result<Vec<T>, ReadError> {
-        match self.value {
-            Value::Null | Value::Array(_) => (0..self.len()).map(|i| read(self.at(i))).collect(),
-            _ => Err(self.unreadable("a list")),
-        }
-    }
-
-    fn number(&self) -> Result<f64, ReadError> {
-        self.value.as_f64().ok_or_else(|| self.unreadable("a number"))
-    }
-
-    fn number_or(&self, default: f64) -> Result<f64, ReadError> {
-        if self.value.is_null() { Ok(default) } else { self.number() }
-    }
-
-    fn flag_or(&self, default: bool) -> Result<bool, ReadError> {
-        match self.value {
-            Value::Null => Ok(default),
-            Value::Bool(flag) => Ok(*flag),
-            _ => Err(self.unreadable("true or false")),
-        }
+fn tenants(projects: &Field<'_>) -> Result<Vec<Tenant>, ReadError> {
+    let fractions = projects.map(|field| field.child("fraction").number_or(0.0, PART))?;
+    let in_all: f64 = fractions.iter().sum();
+    if in_all > MOST_IN_ALL {
+        let told = Value::from(in_all);
+        let field = Field::new(&told, &format!("{KEY}.projects[*].fraction in all"));
+        return Err(field.refuse("a sum of 1 at the most"));
     }
+    projects.map(|field| Ok(Tenant { quota_per_s: field.child("quota_per_s").number_or(0.0, NOT_NEGATIVE)? }))
+}
 
-    fn text_or(&self, default: &'a str) -> Result<&'a str, ReadError> {
-        match self.value {
-            Value::Null => Ok(default),
-            Value::String(text) => Ok(text),
-            _ => Err(self.unreadable("a text")),
-        }
-    }
+fn discovery(root: &Field<'_>) -> Result<Discovery, ReadError> {
+    let ask_within = root.child("rules").child("ask_within").number_or(0.0, Range::ANY);
+    let on_request = root.child("discovery").word_or(false, &[("pushed", false), ("on_request", true)])?;
+    if on_request { Ok(Discovery::OnRequest { ask_within: ask_within? }) } else { Ok(Discovery::Pushed) }
+}
 
-    fn unreadable(&self, wanted: &str) -> ReadError {
-        ReadError(format!("{} is not {wanted}", self.path))
-    }
+fn class(field: Field<'_>) -> Result<Class, ReadError> {
+    // What may be done twice is never a guess: no default. `None` is a keyed one, which has more to tell.
+    let effects = [("free", Some(Effect::Safe)), ("guarded", None), ("single_shot", Some(Effect::Unsafe))];
+    let effect = match field.child("effect").word(&effects)? {
+        Some(effect) => effect,
+        None => Effect::Keyed {
+            group: field.child("group").word_or(
+                KeyGroup::Route,
+                &[("all", KeyGroup::All), ("zone", KeyGroup::Zone), ("cell", KeyGroup::Route)],
+            )?,
+            window: field.child("window").number(SPAN)?,
+        },
+    };
+    let deadline = field.child("deadline").number(SPAN)?;
+    Ok(Class {
+        worth: field.child("credit").number_or(1.0, NOT_NEGATIVE)?,
+        aim: field.child("target").number_or(deadline, SPAN)?,
+        aim_stretch: field.child("aim_stretch").number_or(0.0, NOT_NEGATIVE)?,
+        deadline,
+        late_worth: field.child("late_worth").number_or(0.0, PART)?,
+        effect,
+        ordered: field.child("in_order").flag_or(false)?,
+    })
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/decide/src/settings/tests.rs
@@ -0,0 +1,164 @@
+use serde_json::{Value, json};
+
+use super::{names, parse, read};
+use crate::interface::{Effect, KeyGroup};
+
+mod refused;
+
+/// Settings with all that is read, each value within its range.
+fn whole() -> Value {
+    json!({"az": 0, "azs": ["left", "right"], "kinds": ["k"], "peers_total": 2, "tick": 5.0, "weights": "rough",
+        "discovery": "on_request", "over_share_worth": 0.2, "tariffs": {"cross_zone": 0.1},
+        "lanes": [
+            {"name": "first", "effect": "free", "group": "all", "window": 0, "credit": 1.0, "target": 2000.0,
+             "deadline": 9000.0, "late_worth": 0.3, "aim_stretch": 1.0, "in_order": false},
+            {"name": "second", "effect": "guarded", "group": "zone", "window": 1000.0, "deadline": 9000.0}],
+        "projects": [{"name": "t", "fraction": 0.6, "quota_per_s": 5.0},
+                     {"name": "u", "fraction": 0.4, "quota_per_s": 5.0}],
+        "extra": {"calls_out": 8, "bundle_max": [2], "kind_apart": [false], "loses_worth": "halving",
+                  "fee_by_zone": [0.1, 0.2]},
+        "limits": {"most_held": 50, "max_attempts": 4, "max_retry_after": 3000.0, "retry_after": true,
+                   "probing": true, "cancelling": true, "max_streams": 1, "idle_close": 9000.0,
+                   "connect_timeout": 500.0},
+        "rules": {"cold_from": 0.2, "warm_within": 9000.0, "fall_multiple": 2.0, "tip_after": 3000.0,
+                  "turn_gap": 10.0, "ask_within": 2000.0}})
+}
+
+/// The same with another value at one place; `None` takes the key away.
+fn with(pointer: &str, value: Option<Value>) -> Value {
+    let mut json = whole();
+    let (parent, key) = pointer.rsplit_once('/').expect("a place");
+    match (json.pointer_mut(parent).expect("a parent"), value) {
+        (Value::Object(parent), Some(value)) => _ = parent.insert(key.to_owned(), value),
+        (Value::Object(parent), None) => _ = parent.remove(key),
+        (parent, value) => parent[key.parse::<usize>().expect("an index")] = value.unwrap_or_default(),
+    }
+    json
+}
+
+#[test]
+fn what_is_left_out_or_unknown_or_written_another_way_is_no_reason_to_refuse() {
+    // Window and group mean something in a keyed class only: the first one's window is 0.
+    let settings = read(&whole()).expect("settings");
+    assert_eq!(settings.classes[0].effect, Effect::Safe);
+    assert_eq!(settings.classes[1].effect, Effect::Keyed { group: KeyGroup::Zone, window: 1000.0 });
+    assert_eq!((settings.classes[1].aim, settings.classes[1].worth), (9000.0, 1.0));
+    let of = |pointer, value: Value| with(pointer, Some(value));
+    for json in [
+        of("/lanes/0/window", json!("none")),
+        of("/lanes/0/group", json!("every")),
+        of("/lanes/0/credit", json!(0)),
+        // Later than the deadline: all that is delivered earns its full worth.
+        of("/lanes/0/target", json!(10_000)),
+        of("/lanes/0/novel", json!({"a": [1]})),
+        of("/novel", json!(-1)),
+        of("/projects", json!([])),
+        of("/projects/0/fraction", json!(0.600_000_4)),
+        of("/extra/calls_out", json!(8.0)),
+        of("/limits/max_attempts", json!(4_294_967_295u64)),
+        of("/peers_total", json!(0)),
+    ] {
+        assert_eq!(read(&json).map(|_| ()), Ok(()), "{json}");
+        assert!(names(&json).is_ok(), "{json}");
+    }
+    let group = read(&with("/lanes/1/group", None)).expect("settings").classes[1].effect;
+    assert_eq!(group, Effect::Keyed { group: KeyGroup::Route, window: 1000.0 });
+    for optional in [
+        "/az",
+        "/azs",
+        "/peers_total",
+        "/tick",
+        "/weights",
+        "/discovery",
+        "/over_share_worth",
+        "/tariffs",
+        "/lanes/0/group",
+        "/lanes/0/window",
+        "/lanes/0/credit",
+        "/lanes/0/target",
+        "/lanes/0/late_worth",
+        "/lanes/0/in_order",
+        "/lanes/1/group",
+        "/projects",
+        "/projects/0/name",
+        "/projects/0/fraction",
+        "/projects/0/quota_per_s",
+        "/extra/bundle_max",
+        "/extra/kind_apart",
+        "/extra/loses_worth",
+        "/extra/fee_by_zone",
+        "/limits/max_retry_after",
+        "/limits/retry_after",
+        "/limits/probing",
+        "/limits/cancelling",
+        "/limits/max_streams",
+        "/limits/idle_close",
+        "/limits/connect_timeout",
+        "/rules",
+    ] {
+        for json in [with(optional, None), with(optional, Some(Value::Null))] {
+            let settings = read(&json).unwrap_or_else(|error| panic!("{optional}: {error}"));
+            assert_eq!(settings.validate(), Ok(()), "{optional}");
+            assert!(names(&json).is_ok(), "{optional}");
+        }
+    }
+}
+
+/// Two checks of one thing must not differ: settings that are read can be used.
+#[test]
+fn whatever_stands_at_a_key_it_is_refused_by_that_key_or_the_settings_can_work() {
+    fn keys(at: &str, json: &Value, found: &mut Vec<String>) {
+        let mut below = |key: &str, value: &Value| keys(&format!("{at}/{key}"), value, found);
+        match json {
+            Value::Object(fields) => fields.iter().for_each(|(key, value)| below(key, value)),
+            Value::Array(entries) => entries.iter().enumerate().for_each(|(i, v)| below(&i.to_string(), v)),
+            _ => {}
+        }
+        found.push(at.to_owned());
+    }
+    let mut found = Vec::new();
+    keys("", &whole(), &mut found);
+    found.retain(|key| !key.is_empty());
+    assert!(found.len() > 50, "{found:?}");
+    let odd = [
+        json!(null),
+        json!(0),
+        json!(-1),
+        json!(0.5),
+        json!(8.0),
+        json!(1e300),
+        json!(-1e300),
+        json!(u64::MAX),
+        json!("x"),
+        json!(""),
+        json!(true),
+        json!([]),
+        json!({}),
+        json!([[0]]),
+    ];
+    for key in &found {
+        for value in &odd {
+            let json = with(key, Some(value.clone()));
+            match read(&json) {
+                Ok(settings) if settings.peers_total == 0 => assert_eq!(key, "/peers_total"),
+                Ok(settings) => assert_eq!(settings.validate(), Ok(()), "{key} {value}"),
+                Err(error) => {
+                    let line = error.to_string();
+                    assert!(
+                        line.starts_with("settings.") && line.ends_with(" is wanted"),
+                        "{key} {value}: {line}"
+                    );
+                    assert!(!line.contains('\n'), "{key} {value}: {line}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_text_that_is_no_json_or_has_a_number_beyond_all_numbers_is_refused() {
+    for text in ["", "{", "{\"az\": 1e400}", "{\"az\": NaN}"] {
+        let error = parse(text.as_bytes()).expect_err(text).to_string();
+        assert!(error.starts_with("unreadable settings: ") && !error.contains('\n'), "{error}");
+    }
+}
--- a/crates/sender/src/config/tests.rs
+++ b/crates/sender/src/config/tests.rs
@@ -8,7 +8,7 @@
             "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "limits": {"sockets": 64, "disk_mb": 3},
             "peer_listen": listen, "peers": peers,
             "settings": {"me": me, "limits": {"peers": allowed}}});
-        serde_json::from_value::<Config>(json).expect("a configuration").notes()
+        Config::read(&json).expect("a configuration").notes()
     };
     let (listen, peers) = (Some("127.0.0.1:3"), ["10.0.0.1:3", "10.0.0.2:3"]);
     let good = notes(1, true, listen, &peers).expect("notes");
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -475,7 +475,8 @@
 
     async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
         let json = serde_json::json!({
-            "extra": {"calls_out": 4}, "kinds": ["k"], "lanes": [{"name": "safe", "deadline": 9000.0}],
+            "extra": {"calls_out": 4}, "kinds": ["k"],
+            "lanes": [{"name": "safe", "effect": "single_shot", "deadline": 9000.0}],
             "limits": {"max_attempts": 4, "most_held": 50, "connect_timeout": 5000.0, "idle_close": 15000.0}});
         let settings = rudderspindle_decide::settings::read(&json).expect("settings");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
