--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -50,12 +50,17 @@
 
 mod claim;
 mod memory;
+mod message;
+mod record;
+mod replay;
+mod segments;
 mod store;
 
 use std::rc::Rc;
 
 pub use memory::{Place, Trouble};
-pub use store::{Message, Notice, Ran, Status, Store, TakenOver, wall_ms};
+pub use message::{Message, Notice, Ran, Status, TakenOver, wall_ms};
+pub use store::Store;
 
 /// A message's id, as its client chose it.
 pub type Txn = Rc<str>;
--- a/crates/journal/src/store/tests.rs
+++ b/crates/journal/src/store/tests.rs
@@ -1,6 +1,15 @@
-//! The store's cases one by one, and random histories against a plain model.
+//! The store's cases one by one.
+
+mod model;
+mod succession;
+
+use std::fs;
+
+use bytes::Bytes;
 
 use super::*;
+use crate::replay::replay;
+use crate::segments::path;
 
 const BUDGET: u64 = 3_000_000;
 
@@ -49,8 +58,8 @@
     let mut removed = Vec::new();
     for n in 0..100 {
         // What a kill before the removal of the oldest segments would have left there.
-        let before: Vec<(PathBuf, Vec<u8>)> = (store.segments.iter())
-            .map(|s| path(folder.path(), s.number))
+        let before: Vec<(PathBuf, Vec<u8>)> = (numbers(folder.path()).expect("readable").into_iter())
+            .map(|number| path(folder.path(), number))
             .map(|p| (p.clone(), fs::read(p).expect("readable")))
             .collect();
         let txn: Txn = format!("m{n}").into();
@@ -58,7 +67,7 @@
         store.commit().expect("written");
         store.end(&txn, None);
         store.commit().expect("written");
-        assert!(store.total() <= BUDGET);
+        assert!(store.segments.total() <= BUDGET);
         removed.extend(before.into_iter().filter(|(p, _)| !p.exists()));
     }
     assert!(!removed.is_empty(), "nothing was ever removed");
@@ -151,199 +160,6 @@
     assert_eq!(first(&store, "m1"), None);
 }
 
-// ---- Random histories against a plain model ----------------------------------------------------------
-
-use std::collections::BTreeMap;
-
-use proptest::prelude::*;
-
-/// Messages by number; each attempt's time and, once known, whether it may have run.
-type Model = BTreeMap<usize, Vec<(u64, Option<bool>)>>;
-
-#[derive(Clone, Debug)]
-enum Step {
-    Take(usize, usize),
-    Attempt(usize),
-    Outcome(usize, bool),
-    End(usize),
-    /// A batch is written, or cannot be.
-    Commit(bool),
-    Kill,
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    let message = 0..6usize;
-    prop_oneof![
-        8 => (message.clone(), 40_000..60_000usize).prop_map(|(m, size)| Step::Take(m, size)),
-        6 => message.clone().prop_map(Step::Attempt),
-        5 => (message.clone(), any::<bool>()).prop_map(|(m, ran)| Step::Outcome(m, ran)),
-        5 => message.prop_map(Step::End),
-        8 => prop::bool::weighted(0.8).prop_map(Step::Commit),
-        2 => Just(Step::Kill),
-    ]
-}
-
-/// What a step does to the model; false if it does not apply.
-fn apply_to(model: &mut Model, step: &Step, at: u64) -> bool {
-    let free = |attempts: &Vec<(u64, Option<bool>)>| attempts.iter().all(|a| a.1.is_some());
-    match *step {
-        Step::Take(m, _) => !model.contains_key(&m) && model.insert(m, Vec::new()).is_none(),
-        Step::Attempt(m) => {
-            let attempts = model.get_mut(&m).filter(|attempts| free(attempts));
-            attempts.map(|attempts| attempts.push((at, None))).is_some()
-        }
-        Step::Outcome(m, ran) => {
-            let last = model.get_mut(&m).and_then(|attempts| attempts.last_mut());
-            last.filter(|a| a.1.is_none()).map(|a| a.1 = Some(ran)).is_some()
-        }
-        Step::End(m) => model.remove(&m).is_some(),
-        Step::Commit(_) | Step::Kill => true,
-    }
-}
-
-fn first_in(attempts: &[(u64, Option<bool>)]) -> Option<u64> {
-    attempts.iter().find(|a| a.1 != Some(false)).map(|a| a.0)
-}
-
-/// What the journal says must be what the model says, message by message.
-fn compare(store: &Store, model: &Model) -> Result<(), TestCaseError> {
-    let open: BTreeMap<String, Option<u64>> =
-        store.open_messages().map(|m| (m.txn.to_string(), first(store, &m.txn))).collect();
-    let expected: BTreeMap<String, Option<u64>> =
-        model.iter().map(|(m, attempts)| (format!("m{m}"), first_in(attempts))).collect();
-    prop_assert_eq!(open, expected);
-    Ok(())
-}
-
-/// Attempts, outcomes, ends, batches that cannot be written, kills, and room made all the while: what may
-/// have run is never forgotten, the earliest is kept, and what never ran is not made more of.
-#[test]
-fn what_may_have_run_is_what_a_plain_model_says() {
-    let config = ProptestConfig {
-        cases: 96,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    let removed = std::cell::Cell::new(0);
-    let histories = prop::collection::vec(step(), 1..600);
-    let played = proptest::test_runner::TestRunner::new(config).run(&histories, |steps| {
-        removed.set(removed.get() + play(steps)?);
-        Ok(())
-    });
-    played.expect("the journal says what the model says");
-    assert!(removed.get() > 100, "{} segments removed", removed.get());
-}
-
-/// Returns how many segments were removed.
-fn play(steps: Vec<Step>) -> Result<u64, TestCaseError> {
-    // Room for little more than what is kept free: old segments go all the time.
-    let budget = 10 * SEGMENT;
-    let folder = tempfile::tempdir().expect("a folder");
-    let mut store = Store::open(folder.path(), budget).expect("a journal");
-    // What the process knows, what is written, and what waits for the next batch.
-    let (mut live, mut written) = (Model::new(), Model::new());
-    let (mut facts, mut starts) = (Vec::new(), Vec::new());
-    let mut gone: std::collections::BTreeSet<usize> = Default::default();
-    for (at, step) in steps.into_iter().enumerate() {
-        let at = at as u64;
-        let fits = match step {
-            // An id is not used again while a batch that knows it is still to be written.
-            Step::Take(m, _) => !gone.contains(&m),
-            // Only what is on record is attempted, and only what has gone out has an outcome.
-            Step::Attempt(m) => written.contains_key(&m),
-            Step::Outcome(m, _) | Step::End(m) => !starts.iter().any(|(step, _)| match *step {
-                Step::Take(n, _) | Step::Attempt(n) => n == m,
-                _ => false,
-            }),
-            Step::Commit(_) | Step::Kill => true,
-        };
-        if !fits || !apply_to(&mut live, &step, at) {
-            continue;
-        }
-        match step {
-            Step::Take(m, size) => {
-                let record = message(&format!("m{m}"), size);
-                if !store.has_room(record.room()) {
-                    live.remove(&m);
-                    continue;
-                }
-                store.take(record);
-                starts.push((step, at));
-            }
-            Step::Attempt(m) => {
-                store.attempt(&format!("m{m}").as_str().into(), ran(at));
-                starts.push((step, at));
-            }
-            Step::Outcome(m, may) => {
-                let number = live[&m].len() as u32 - 1;
-                store.outcome(&format!("m{m}").as_str().into(), number, may);
-                facts.push((step, at));
-            }
-            Step::End(m) => {
-                store.end(&format!("m{m}").as_str().into(), None);
-                gone.insert(m);
-                facts.push((step, at));
-            }
-            Step::Commit(true) => {
-                store.commit().expect("written");
-                for (step, at) in facts.drain(..).chain(starts.drain(..)) {
-                    apply_to(&mut written, &step, at);
-                }
-                gone.clear();
-                compare(&store, &live)?;
-            }
-            Step::Commit(false) => {
-                if facts.is_empty() && starts.is_empty() {
-                    continue;
-                }
-                store.budget = 0;
-                store.commit().expect_err("no room");
-                store.budget = budget;
-                for (step, _) in starts.drain(..) {
-                    match step {
-                        Step::Take(m, _) => {
-                            live.remove(&m);
-                            store.forget(&format!("m{m}").as_str().into());
-                        }
-                        Step::Attempt(m) => {
-                            let attempts = live.get_mut(&m).expect("a message");
-                            let number = attempts.len() as u32 - 1;
-                            // It keeps its number, as at the host, and never ran.
-                            let last = attempts.last_mut().expect("an attempt");
-                            last.1 = Some(false);
-                            store.outcome(&format!("m{m}").as_str().into(), number, false);
-                        }
-                        _ => {}
-                    }
-                }
-                compare(&store, &live)?;
-            }
-            Step::Kill => {
-                drop(store);
-                facts.clear();
-                starts.clear();
-                gone.clear();
-                for attempt in written.values_mut().flatten() {
-                    attempt.1 = attempt.1.or(Some(true));
-                }
-                store = Store::open(folder.path(), budget).expect("a journal");
-                live = written.clone();
-                compare(&store, &live)?;
-                // Numbers go on from what is on record.
-                for (m, attempts) in &mut live {
-                    let known = store.open_messages().find(|o| *o.txn == *format!("m{m}"));
-                    let known = known.expect("a message").attempts as usize;
-                    prop_assert!(known >= attempts.len());
-                    attempts.resize(known, (u64::MAX, Some(false)));
-                }
-                written = live.clone();
-            }
-        }
-    }
-    Ok(store.segments.front().map_or(0, |s| s.number))
-}
-
 #[test]
 fn what_is_known_of_outages_outlasts_the_process_and_the_segments_that_it_was_written_to() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -383,116 +199,3 @@
     assert_eq!(replay(&batch, 0, &mut contents), batch.len());
     assert_eq!(contents.memories.at(wall_ms()).map(|(place, _)| place.0).collect::<Vec<_>>(), [9]);
 }
-
-// ---- An owner and its successor -----------------------------------------------------------------------
-
-fn open(folder: &tempfile::TempDir) -> Store {
-    Store::open(folder.path(), BUDGET).expect("a journal")
-}
-
-#[test]
-fn a_successor_leaves_the_owners_segments_alone_and_takes_over_once_it_has_ended() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let mut owner = open(&folder);
-    owner.take(message("m1", 10));
-    owner.take(message("gone", 10));
-    owner.attempt(&"m1".into(), ran(1));
-    owner.commit().expect("written");
-    let mut successor = open(&folder);
-    assert!(owner.is_owner() && !successor.is_owner());
-    assert_eq!(state(&successor), (vec![], vec![]));
-    assert_eq!(successor.succeed().expect("readable"), None);
-    let third = Store::open(folder.path(), BUDGET).expect_err("there are two");
-    assert_eq!(third.kind(), io::ErrorKind::ResourceBusy);
-    // Both go on writing.
-    successor.take(message("m2", 10));
-    successor.commit().expect("written");
-    owner.end(&"gone".into(), None);
-    owner.end(&"m1".into(), Some(Status::Undeliverable));
-    owner.take(message("m3", 10));
-    owner.attempt(&"m3".into(), ran(2));
-    owner.commit().expect("written");
-    drop(owner);
-    let over = successor.succeed().expect("readable").expect("the owner has ended");
-    assert_eq!(over.owed, [Notice { txn: "m1".into(), status: Status::Undeliverable }]);
-    assert_eq!(over.open.len(), 1);
-    // Its attempt has no outcome, and never will have.
-    assert_eq!((&*over.open[0].txn, &over.open[0].may_have_run), ("m3", &Some(ran(2))));
-    assert_eq!(successor.succeed().expect("readable"), None);
-    let expected = state(&successor);
-    assert_eq!((expected.0.len(), expected.1.len()), (2, 1));
-    drop(successor);
-    assert_eq!(state(&open(&folder)), expected);
-}
-
-/// Whichever of the two ends first, and also if both do before anything was taken over: nothing is lost, and
-/// what the successor knows of an id is what counts.
-#[test]
-fn a_crash_of_owner_and_successor_at_any_point_leaves_the_same_as_a_restart() {
-    for steps in 0..5 {
-        let folder = tempfile::tempdir().expect("a folder");
-        let mut owner = open(&folder);
-        for txn in ["m1", "m2", "both"] {
-            owner.take(message(txn, 10));
-        }
-        owner.commit().expect("written");
-        let mut successor = open(&folder);
-        successor.take(message("m3", 10));
-        successor.take(message("both", 10));
-        successor.attempt(&"both".into(), ran(7));
-        successor.commit().expect("written");
-        let mut owner = Some(owner);
-        let (mut open_ones, mut owed) = (4, 0);
-        for step in 0..steps {
-            match step {
-                0 => drop(owner.take()),
-                1 => assert!(successor.succeed().expect("readable").is_some()),
-                2 => {
-                    successor.end(&"m1".into(), None);
-                    open_ones -= 1;
-                }
-                _ => {
-                    successor.end(&"m2".into(), Some(Status::Deferred(None)));
-                    (open_ones, owed) = (open_ones - 1, owed + 1);
-                }
-            }
-            successor.commit().expect("written");
-        }
-        drop(successor);
-        drop(owner);
-        let again = open(&folder);
-        let (messages, notices) = state(&again);
-        assert_eq!((messages.len(), notices.len()), (open_ones, owed), "after {steps} steps");
-        assert_eq!(first(&again, "both"), Some(7));
-    }
-}
-
-#[test]
-fn two_processes_that_write_much_stay_within_the_disk_and_one_alone_has_all_of_it_again() {
-    let folder = tempfile::tempdir().expect("a folder");
-    let fill = |store: &mut Store, from: u32, to: u32| {
-        for n in from..to {
-            let txn = Txn::from(format!("{}-{n}", store.is_owner()));
-            store.take(message(&txn, 2_000));
-            store.commit().expect("written");
-            store.end(&txn, None);
-            store.commit().expect("written");
-        }
-    };
-    let mut owner = open(&folder);
-    fill(&mut owner, 0, 2_000);
-    assert!(owner.total() > BUDGET / 2, "{}", owner.total());
-    owner.share(true).expect("room");
-    let mut successor = open(&folder);
-    for n in 0..10 {
-        fill(&mut owner, 2_000 + n * 200, 2_200 + n * 200);
-        fill(&mut successor, n * 200, 200 + n * 200);
-        assert!(owner.total() + successor.total() <= BUDGET);
-    }
-    owner.share(false).expect("room");
-    assert_eq!(owner.budget, BUDGET);
-    drop(owner);
-    assert!(successor.succeed().expect("readable").is_some());
-    fill(&mut successor, 3_000, 5_000);
-    assert!((BUDGET / 2..=BUDGET).contains(&successor.total()), "{}", successor.total());
-}
