--- a/crates/journal/src/segments.rs
+++ b/crates/journal/src/segments.rs
@@ -1,6 +1,7 @@
 //! The files that records are written to, oldest first.
 
 use std::collections::VecDeque;
+use std::fmt::Debug;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -11,6 +12,18 @@
 /// What the platform counts a file in.
 const BLOCK: u64 = 512;
 
+/// The file that is written to; in tests one that fails on cue.
+trait Tail: Write + Debug {
+    /// Cuts what lies behind so many bytes.
+    fn cut(&self, length: u64) -> io::Result<()>;
+}
+
+impl Tail for File {
+    fn cut(&self, length: u64) -> io::Result<()> {
+        self.set_len(length)
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Segment {
     pub number: u64,
@@ -22,7 +35,9 @@
 pub(crate) struct Segments {
     folder: PathBuf,
     all: VecDeque<Segment>,
-    file: File,
+    file: Box<dyn Tail>,
+    /// Whether the last one may end in half a record, as a write to it failed and it could not be cut.
+    torn: bool,
 }
 
 impl Segments {
@@ -30,7 +45,7 @@
     pub fn begin(folder: &Path, mut older: VecDeque<Segment>, number: u64) -> io::Result<Self> {
         let file = create(folder, number)?;
         older.push_back(Segment { number, bytes: 0 });
-        Ok(Self { folder: folder.to_owned(), all: older, file })
+        Ok(Self { folder: folder.to_owned(), all: older, file: Box::new(file), torn: false })
     }
 
     /// Puts the segments of a process that has ended before ours.
@@ -61,24 +76,41 @@
         if self.total() + bytes.len() as u64 + 2 * BLOCK > budget {
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the journal has no room"));
         }
+        if self.torn {
+            self.leave_torn_tail()?;
+        }
         let Some(segment) = self.all.back_mut() else { return Ok(()) };
         if let Err(error) = self.file.write_all(bytes) {
             // Half a record in the middle would hide what follows it.
-            self.file.set_len(segment.bytes)?;
+            self.torn = self.file.cut(segment.bytes).is_err();
             return Err(error);
         }
         segment.bytes += bytes.len() as u64;
-        if segment.bytes >= SEGMENT {
-            let number = segment.number + 1;
-            match create(&self.folder, number) {
-                Ok(file) => {
-                    self.file = file;
-                    self.all.push_back(Segment { number, bytes: 0 });
-                }
-                // What was to be written is written: this segment just grows longer.
-                Err(error) => tracing::warn!("journal: no new segment could be begun: {error}"),
-            }
+        if segment.bytes >= SEGMENT
+            && let Err(error) = self.begin_next()
+        {
+            // What was to be written is written: this segment just grows longer.
+            tracing::warn!("journal: no new segment could be begun: {error}");
+        }
+        Ok(())
+    }
+
+    /// Writes nothing behind half a record: either it can be cut now, or it ends its segment, where reading cuts it.
+    fn leave_torn_tail(&mut self) -> io::Result<()> {
+        let (number, bytes) = self.all.back().map_or((0, 0), |s| (s.number, s.bytes));
+        if self.file.cut(bytes).is_err() {
+            self.begin_next()?;
+            let taken = fs::metadata(path(&self.folder, number)).map_or(bytes, |file| file.len());
+            self.all.iter_mut().filter(|s| s.number == number).for_each(|s| s.bytes = taken);
         }
+        self.torn = false;
+        Ok(())
+    }
+
+    fn begin_next(&mut self) -> io::Result<()> {
+        let number = self.current() + 1;
+        self.file = Box::new(create(&self.folder, number)?);
+        self.all.push_back(Segment { number, bytes: 0 });
         Ok(())
     }
 
@@ -108,3 +140,6 @@
 fn create(folder: &Path, number: u64) -> io::Result<File> {
     OpenOptions::new().append(true).create_new(true).open(path(folder, number))
 }
+
+#[cfg(test)]
+mod tests;
