A clock that was set back between two processes begins no key's window anew

With a clock set back between the two processes that is 0 for a time that is still to come, and too little for every other: the key window began anew, and a repeat could reach a receiver that no longer knew the key. A message's time left was its deadline less the clock, and so could be an hour more than its class allows.

If that is still to come the clock was set back, no attempt on record counts as within its key's window, and one line of the log says so. What is left of a message's time is at most its class's deadline. Such a record would tell every later start the same, long after the clock is right: a start that sees it moves what is live to new segments and removes the old ones.

A clock set back by less than the time since the last attempt on record cannot be seen, nor one set forward (its repeats are given up too early, which doubles nothing).

--- /dev/null
+++ b/crates/daemon/tests/restart.rs
@@ -0,0 +1,124 @@
+//! A start on what an earlier process left in its journal, and kills at named points.
+
+mod common;
+
+use std::path::Path;
+
+use bytes::Bytes;
+use common::*;
+use rudderspindle_journal::{Message, Ran, Store, wall_ms};
+use serde_json::Value;
+
+const LONG: f64 = 60_000.0;
+const HOUR: u64 = 3_600_000;
+
+/// A message as an earlier process left it: of a class, with so much of its time left by the clock.
+fn left_behind(class: &str, txn: &str, left_ms: u64) -> Message {
+    Message {
+        txn: txn.into(),
+        class: class.into(),
+        tenant: "acme".into(),
+        destination: 7,
+        key: Some(Bytes::from(format!("key-{txn}"))),
+        deadline: wall_ms() + left_ms,
+        body: Bytes::from_static(b"text"),
+        attempts: 0,
+        may_have_run: None,
+        out: None,
+    }
+}
+
+/// An attempt to `r1`, of which no outcome is on record.
+fn ran(at: u64) -> Ran {
+    Ran { at, receiver: "r1".into(), zone: "a".into() }
+}
+
+/// Writes a journal as an earlier process would have: messages, and when their one attempt went out, if one did.
+fn write_journal(state: &Path, messages: Vec<(Message, Option<u64>)>) {
+    let mut store = Store::open(state, 3_000_000).expect("a journal");
+    for (message, attempt_at) in messages {
+        let txn = message.txn.clone();
+        store.take(message);
+        store.commit().expect("written");
+        if let Some(at) = attempt_at {
+            store.attempt(&txn, ran(at));
+            store.commit().expect("written");
+        }
+    }
+}
+
+/// A platform and a receiver for destination 7 that the platform lists, a folder, and a configuration.
+async fn site(acts: &[Act], deadline: f64) -> (Platform, Receiver, Folder, Value) {
+    let (platform, receiver) = (Platform::start().await, Receiver::start(acts).await);
+    let config = config(platform.addr, &[member("r1", receiver.addr, 7, "SERVING")], deadline);
+    *platform.list.lock().expect("a list") = Some(config["known"].clone());
+    (platform, receiver, lasting(), config)
+}
+
+fn undeliverable(txn: &str) -> (String, String) {
+    (txn.to_owned(), "undeliverable".to_owned())
+}
+
+/// A message that an earlier process handed in last shows that all before it has been decided on.
+async fn expect_only(receiver: &mut Receiver, txns: &[&str]) {
+    for txn in txns {
+        assert_eq!(receiver.call().await.txn, *txn);
+    }
+    assert!(receiver.nothing_called());
+}
+
+// ---- The key's window over a restart -------------------------------------------------------------------
+
+/// The window is 1 s, as short as it gets.
+#[tokio::test]
+async fn a_keyed_message_is_repeated_after_a_restart_only_within_its_keys_window() {
+    for (ago, repeated) in [(100, true), (1_100, false)] {
+        let (mut platform, mut receiver, folder, mut config) = site(&[], LONG).await;
+        config["settings"]["lanes"][1]["window"] = 1_000.0.into();
+        write_journal(&folder.1, vec![(left_behind("keyed", "m1", 50_000), Some(wall_ms() - ago))]);
+        let program = Program::start(&config, &folder.1).await;
+        if repeated {
+            expect_only(&mut receiver, &["m1"]).await;
+        } else {
+            assert_eq!(platform.report().await.0, [undeliverable("m1")]);
+            assert_eq!(program.hand_in("safe", "m2", Bytes::from_static(b"text")).await.status(), 202);
+            expect_only(&mut receiver, &["m2"]).await;
+        }
+    }
+}
+
+/// Nothing tells how long ago an attempt was, also not one whose own time has come again.
+#[tokio::test]
+async fn a_clock_set_back_between_two_processes_begins_no_keys_window_anew() {
+    let (mut platform, mut receiver, folder, config) = site(&[], LONG).await;
+    let now = wall_ms();
+    let messages = vec![
+        (left_behind("keyed", "m1", 50_000), Some(now - 1_000)),
+        (left_behind("safe", "m2", 50_000), Some(now + HOUR)),
+        (left_behind("keyed", "m3", 50_000), Some(now + HOUR)),
+    ];
+    write_journal(&folder.1, messages);
+    let mut program = Program::start(&config, &folder.1).await;
+    let mut notices = Vec::new();
+    while notices.len() < 2 {
+        notices.extend(platform.report().await.0);
+    }
+    notices.sort();
+    assert_eq!(notices, [undeliverable("m1"), undeliverable("m3")]);
+    // What may be repeated at will is.
+    expect_only(&mut receiver, &["m2"]).await;
+    program.terminate().await;
+    assert!(program.exit().await.success());
+    expect_only(&mut receiver, &[]).await;
+}
+
+/// Nobody is there to deliver it to: it ends by its notice, and not an hour late.
+#[tokio::test]
+async fn a_clock_set_back_gives_no_message_more_time_than_its_class_has() {
+    let (mut platform, _receiver, folder, mut config) = site(&[], 1_000.0).await;
+    config["known"]["members"] = Value::Array(Vec::new());
+    *platform.list.lock().expect("a list") = Some(config["known"].clone());
+    write_journal(&folder.1, vec![(left_behind("safe", "m1", HOUR), None)]);
+    let _program = Program::start(&config, &folder.1).await;
+    assert_eq!(platform.report().await.0, [("m1".to_owned(), "deferred".to_owned())]);
+}
--- a/crates/journal/src/replay.rs
+++ b/crates/journal/src/replay.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Contents {
     pub entries: HashMap<Txn, Entry>,
     pub memories: Memories,
+    /// When the latest attempt on record went out, in milliseconds of the wall clock since 1970; 0 if there is none.
+    pub latest_attempt: u64,
 }
 
 impl Entry {
@@ -94,7 +96,7 @@
 }
 
 fn apply(payload: &[u8], segment: u64, contents: &mut Contents) -> Option<()> {
-    let Contents { entries, memories } = contents;
+    let Contents { entries, memories, latest_attempt } = contents;
     let mut f = Fields(payload);
     let (tag, txn) = (f.u8()?, f.text()?);
     match tag {
@@ -113,10 +115,13 @@
                 out: f.ran()?,
                 body: Bytes::copy_from_slice(f.bytes()?),
             };
+            let ran = message.may_have_run.iter().chain(&message.out).map(|ran| ran.at);
+            *latest_attempt = ran.fold(*latest_attempt, u64::max);
             entries.insert(txn, Entry { segment, state: State::Open(message) });
         }
         ATTEMPT => {
             let (number, ran) = (f.u32()?, f.ran()?);
+            *latest_attempt = ran.iter().map(|ran| ran.at).fold(*latest_attempt, u64::max);
             if let Some(message) = open_mut(entries, &txn) {
                 message.begin(number, ran);
             }
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -36,6 +36,7 @@
     starts: Vec<u8>,
     entries: HashMap<Txn, Entry>,
     memories: Memories,
+    latest_attempt: u64,
     /// Room that all entries need.
     live: u64,
 }
@@ -58,7 +59,7 @@
             (VecDeque::new(), numbers.last().map_or(0, |n| n + GENERATION), budget / 2)
         };
         let segments = Segments::begin(folder, older, number)?;
-        let Contents { entries, memories } = contents;
+        let Contents { entries, memories, latest_attempt } = contents;
         let live = entries.iter().map(|(txn, entry)| entry.room(txn)).sum();
         let folder = folder.to_owned();
         let mut store = Self {
@@ -71,9 +72,13 @@
             starts: Vec::new(),
             entries,
             memories,
+            latest_attempt,
             live,
         };
-        store.make_room()?;
+        // Times that have not come yet tell each later start, too, that the clock was set back: they go with the
+        // segments that hold them.
+        let most = if latest_attempt > wall_ms() { 0 } else { ours.saturating_sub(RESERVE) };
+        store.make_room_to(most)?;
         Ok(store)
     }
 
@@ -93,6 +98,12 @@
         })
     }
 
+    /// When the latest attempt of an earlier process went out, in milliseconds of the wall clock since 1970; 0 if none
+    /// is on record. If that is still to come, the clock was set back, and no time on record tells how long ago it was.
+    pub fn latest_attempt(&self) -> u64 {
+        self.latest_attempt
+    }
+
     /// Whether an id is still owed its end or a notice.
     pub fn knows(&self, txn: &Txn) -> bool {
         self.entries.contains_key(txn)
--- a/crates/journal/src/store/succession.rs
+++ b/crates/journal/src/store/succession.rs
@@ -39,6 +39,7 @@
             self.live += entry.room(&txn);
             self.entries.insert(txn, entry);
         }
+        self.latest_attempt = self.latest_attempt.max(contents.latest_attempt);
         // What we know ourselves is newer.
         self.memories.add_older(contents.memories);
         if let Err(error) = self.make_room() {
--- a/crates/journal/src/store/tests.rs
+++ b/crates/journal/src/store/tests.rs
@@ -160,6 +160,34 @@
     assert_eq!(first(&store, "m1"), None);
 }
 
+/// A clock that was ahead for a while, or has been set back since.
+#[test]
+fn a_time_that_has_not_come_yet_is_told_to_one_start_unless_a_message_still_has_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = Store::open(folder.path(), BUDGET).expect("a journal");
+    assert_eq!(store.latest_attempt(), 0);
+    let ahead = wall_ms() + 3_600_000;
+    for (txn, at) in [("over", ahead), ("open", ahead - 1)] {
+        store.take(message(txn, 10));
+        store.attempt(&txn.into(), ran(at));
+        store.commit().expect("written");
+    }
+    store.end(&"over".into(), None);
+    store.commit().expect("written");
+    for expected in [ahead, ahead - 1] {
+        drop(store);
+        store = Store::open(folder.path(), BUDGET).expect("a journal");
+        assert_eq!(store.latest_attempt(), expected);
+        assert_eq!(first(&store, "open"), Some(ahead - 1));
+    }
+    store.end(&"open".into(), None);
+    store.commit().expect("written");
+    drop(store);
+    // The start before this one has left no record of it but those of its own.
+    drop(Store::open(folder.path(), BUDGET).expect("a journal"));
+    assert_eq!(Store::open(folder.path(), BUDGET).expect("a journal").latest_attempt(), 0);
+}
+
 #[test]
 fn what_is_known_of_outages_outlasts_the_process_and_the_segments_that_it_was_written_to() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -8,6 +8,12 @@
     pub(super) fn recover(&mut self, now: Instant, messages: Vec<journal::Message>, owed: Vec<Notice>) {
         owed.into_iter().for_each(|notice| self.reports.push(notice));
         let wall = journal::wall_ms();
+        let set_back = self.store.latest_attempt() > wall;
+        if set_back {
+            tracing::warn!(
+                "journal: the clock was set back: no attempt on record counts as within its key's window"
+            );
+        }
         if !messages.is_empty() {
             tracing::warn!("journal: {} messages taken up again", messages.len());
         }
@@ -24,11 +30,13 @@
                 self.reports.push(Notice { txn: m.txn, status: Status::Undeliverable });
                 continue;
             };
-            let left = m.deadline.saturating_sub(wall);
+            // Whatever the clock says, it has no longer than its class allows.
+            let left = m.deadline.saturating_sub(wall).min(self.settings.classes[class].deadline as u64);
             tracing::debug!(target: STORY, txn = &*m.txn, attempts = m.attempts, ran = ?m.may_have_run, left,
                 "taken up again");
             let may_have_run = m.may_have_run.map(|ran| PastRun {
-                ago: wall.saturating_sub(ran.at) as Millis,
+                // As long as can be, where the clock does not tell.
+                ago: wall.saturating_sub(if set_back { 0 } else { ran.at }) as Millis,
                 route: self.route(&ran.receiver, now),
                 zone: self.zone(&ran.zone),
             });
