--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -1,48 +1,32 @@
-//! Clients: takes messages in, and answers what the host says.
+//! Clients: takes their connections in, and decides when each of them ends.
+
+mod client;
+mod requests;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
 use rudderspindle_decide::interface::*;
 use rudderspindle_decide::settings::Names;
-use rudderspindle_journal::{MAX_BODY, Txn};
+use rudderspindle_journal::MAX_BODY;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::door::Door;
-use crate::event::{Answer, IDEMPOTENCY_KEY, Input, Submission};
-use crate::figures::{End, Figures};
-use crate::meter::{MAX_BUFFER, Meter, Metered};
+use crate::event::Input;
+use crate::figures::Figures;
+use crate::meter::{MAX_BUFFER, Metered};
 use crate::places::{ClientId, Places};
+use client::Client;
 
-const X_TXN: HeaderName = HeaderName::from_static("x-txn");
-const X_ORG: HeaderName = HeaderName::from_static("x-org");
-const X_REMAINING: HeaderName = HeaderName::from_static("x-remaining");
-const X_ROUTE_TO: HeaderName = HeaderName::from_static("x-route-to");
-
-const READY: &str = "/-/ready";
-/// An id or a key is no longer than this.
-const MAX_NAME: usize = 256;
-/// So long after it connected a client's first request must have come, whole.
-const FIRST_REQUEST: Duration = Duration::from_millis(2_300);
-/// A later request must have come whole so long after its first byte. Bytes that trickle do not extend it.
-const NEXT_REQUEST: Duration = Duration::from_millis(2_300);
-/// A connection with no request open is kept so long for the next one, while others do not need its place.
-const KEPT: Duration = Duration::from_secs(5);
 /// How often the connections are looked over.
 const LOOK: Duration = Duration::from_millis(200);
 /// Pause after a connection could not be accepted or had no place.
@@ -203,287 +187,7 @@
             let _ = self.host.send(Input::Withdrawn(number)).await;
         }
     }
-
-    async fn answer(
-        &self,
-        request: Request<Incoming>,
-        client: &Client,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut answer = match (request.method(), request.uri().path()) {
-            // A process that leaves clients to its successor is one with it: both are the sender, which is ready.
-            (&Method::GET, READY) if matches!(*self.door.borrow(), Door::Standby | Door::Stopping) => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
-            }
-            (&Method::GET, READY) => plain(StatusCode::OK, "ready"),
-            (_, READY) => plain(StatusCode::METHOD_NOT_ALLOWED, "GET only"),
-            (&Method::POST, _) => match self.submit(request, client).await {
-                Ok(answer) | Err(answer) => answer,
-            },
-            _ => plain(StatusCode::METHOD_NOT_ALLOWED, "POST only"),
-        };
-        if answer.status().is_client_error() || *self.door.borrow() != Door::Open {
-            // What follows on the connection of a client that cannot be understood may be the rest of a body.
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        client.rest();
-        let surplus = self.places.borrow_mut().answered(client.id, self.now(), |id| self.coming(id));
-        self.close(surplus);
-        Ok(answer)
-    }
-
-    /// Hands a message to the host and waits for what it says; `Err` is a request that cannot be taken.
-    async fn submit(&self, request: Request<Incoming>, client: &Client) -> Result<Reply, Reply> {
-        let bad = |what| plain(StatusCode::BAD_REQUEST, what);
-        let owed = &client.owed;
-        let (head, body) = request.into_parts();
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            // hyper lets it override a Content-Length and reads on behind the last chunk: another request may
-            // be hidden in what the length says is the body. No client of ours sends it.
-            return Err(bad("Transfer-Encoding"));
-        }
-        let length = body.size_hint().lower();
-        if length > MAX_BODY as u64 {
-            return Err(too_large());
-        }
-        let class = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let class = self.names.classes.iter().position(|name| name == class);
-        let class = class.ok_or_else(|| plain(StatusCode::NOT_FOUND, "unknown class"))?;
-        let txn = name(&head.headers, &X_TXN).ok_or_else(|| bad("bad X-Txn"))?;
-        let tenant = match name(&head.headers, &X_ORG) {
-            Some(tenant) => self.names.tenants.iter().position(|name| name == tenant),
-            None => self.names.tenants.is_empty().then_some(0),
-        };
-        let tenant = tenant.ok_or_else(|| bad("unknown tenant"))?;
-        let destination = name(&head.headers, &X_ROUTE_TO).and_then(destination);
-        let destination = destination.ok_or_else(|| bad("bad X-Route-To"))?;
-        let left = name(&head.headers, &X_REMAINING).and_then(|text| text.trim().parse::<f64>().ok());
-        let left = left.filter(|left| left.is_finite() && *left >= 0.0);
-        let left = left.ok_or_else(|| bad("bad X-Remaining"))?;
-        let key = head.headers.get(IDEMPOTENCY_KEY);
-        let keyed = matches!(self.settings.classes[class].effect, Effect::Keyed { .. });
-        if key.is_some_and(|key| key.len() > MAX_NAME) || (keyed && key.is_none_or(HeaderValue::is_empty)) {
-            return Err(bad("bad Idempotency-Key"));
-        }
-        let key = key.map(|key| Bytes::copy_from_slice(key.as_bytes()));
-        let txn = Txn::from(txn);
-        let body = {
-            let Ok(_room) = self.bodies.try_acquire_many(length as u32) else {
-                return Ok(self.turn_away(class));
-            };
-            match timeout_at(client.due(), Limited::new(body, MAX_BODY).collect()).await {
-                // A copy: a body that came as one piece would keep the connection's whole buffer in memory.
-                Ok(Ok(body)) => Bytes::copy_from_slice(&body.to_bytes()),
-                Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
-                Ok(Err(_)) => return Err(bad("unfinished body")),
-                Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "unfinished body")),
-            }
-        };
-        client.asked.set(true);
-        self.places.borrow_mut().asks(client.id, self.now());
-        // A message's time counts from its last byte. Its class bounds what a client can ask for.
-        let left = left.min(self.settings.classes[class].deadline / 1_000.0);
-        let ends_at = Instant::now() + Duration::from_secs_f64(left);
-        let number = self.hand_ins.get();
-        self.hand_ins.set(number + 1);
-        let (answer, answered) = oneshot::channel();
-        let submission = Submission { number, txn, class, tenant, destination, key, body, ends_at, answer };
-        if self.host.try_send(Input::HandedIn(submission)).is_err() {
-            return Ok(self.turn_away(class));
-        }
-        owed.hand_in(number);
-        let answer = answered.await.unwrap_or(Answer::Refused(0.0));
-        if answer == Answer::Accepted {
-            owed.accept();
-            return Ok(plain(StatusCode::ACCEPTED, "taken on"));
-        }
-        owed.number.set(None);
-        Ok(match answer {
-            Answer::Accepted | Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
-            Answer::Refused(again) => self.refusal(again),
-            Answer::UnknownDestination => plain(StatusCode::NOT_FOUND, "unknown destination"),
-        })
-    }
-
-    /// Refused before the engine has heard of it.
-    fn turn_away(&self, class: usize) -> Reply {
-        self.figures.ended(class, End::Refused);
-        self.refusal(0.0)
-    }
-
-    fn refusal(&self, again: Millis) -> Reply {
-        let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-        let seconds = HeaderValue::from_str(&format!("{:.3}", again / 1_000.0));
-        if let (true, Ok(seconds)) = (self.settings.retry_after && again > 0.0, seconds) {
-            reply.headers_mut().insert(RETRY_AFTER, seconds);
-        }
-        reply
-    }
-}
-
-type Reply = Response<Full<Bytes>>;
-
-fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::from(text));
-    *reply.status_mut() = status;
-    reply
-}
-
-fn too_large() -> Reply {
-    plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
-}
-
-/// A header's text, if it is there and of a sensible length.
-fn name<'a>(headers: &'a HeaderMap, header: &HeaderName) -> Option<&'a str> {
-    headers.get(header)?.to_str().ok().filter(|text| (1..=MAX_NAME).contains(&text.len()))
-}
-
-/// The destination in `dest=7`, alone or among other pairs.
-fn destination(text: &str) -> Option<DestinationId> {
-    let pair = text.split([',', ';']).filter_map(|pair| pair.split_once('='));
-    let value = pair.filter(|(name, _)| name.trim() == "dest").map(|(_, value)| value).next()?;
-    value.trim().parse().ok().map(DestinationId)
-}
-
-/// A client's connection.
-#[derive(Debug)]
-struct Client {
-    id: ClientId,
-    /// Since when it has had no request open, and whether it ever had one.
-    rests_since: Cell<Instant>,
-    known: Cell<bool>,
-    /// Whether a request has come whole and is not answered.
-    asked: Cell<bool>,
-    closing: Notify,
-    owed: OwedAnswer,
-}
-
-impl Client {
-    fn new(id: ClientId) -> Self {
-        Self {
-            id,
-            rests_since: Cell::new(Instant::now()),
-            known: Cell::new(false),
-            asked: Cell::new(false),
-            closing: Notify::new(),
-            owed: OwedAnswer::default(),
-        }
-    }
-
-    fn close(&self) {
-        self.closing.notify_one();
-    }
-
-    /// A request has its answer; the next one may come.
-    fn rest(&self) {
-        self.asked.set(false);
-        self.known.set(true);
-        self.rests_since.set(Instant::now());
-        self.owed.meter.listen();
-    }
-
-    /// When the request that is coming, or that may come, must be there.
-    fn due(&self) -> Instant {
-        match self.owed.meter.heard() {
-            _ if !self.known.get() => self.rests_since.get() + FIRST_REQUEST,
-            Some(at) => at + NEXT_REQUEST,
-            None => self.rests_since.get() + KEPT,
-        }
-    }
-
-    /// Whether it has had an answer, and nothing of a further request has come.
-    fn at_rest(&self) -> bool {
-        self.known.get() && !self.asked.get() && self.owed.meter.heard().is_none()
-    }
-
-    fn overdue(&self, now: Instant) -> bool {
-        !self.asked.get() && self.due() <= now
-    }
-}
-
-/// The last hand-in of a connection that the host has, and whether its 202 was written.
-#[derive(Debug, Default)]
-struct OwedAnswer {
-    number: Cell<Option<u64>>,
-    /// Whether the meter counts the 202.
-    ready: Cell<bool>,
-    meter: Rc<Meter>,
-}
-
-impl OwedAnswer {
-    fn hand_in(&self, number: u64) {
-        self.ready.set(false);
-        self.number.set(Some(number));
-    }
-
-    fn accept(&self) {
-        self.meter.reset();
-        self.ready.set(true);
-    }
-
-    /// The hand-in whose client has heard nothing.
-    fn unheard(&self) -> Option<u64> {
-        self.number.get().filter(|_| !(self.ready.get() && self.meter.started()))
-    }
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    use super::*;
-
-    const REQUEST: &[u8] = b"POST /safe HTTP/1.1\r\nHost: a\r\nX-Txn: m1\r\nX-Remaining: 5\r\n\
-        X-Route-To: dest=7\r\nContent-Length: 4\r\n\r\ntext";
-
-    /// A client, and the host's end of the queue.
-    async fn set_up() -> (TcpStream, mpsc::Receiver<Input>, watch::Sender<Door>) {
-        let json = serde_json::json!({
-            "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
-            "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
-        let settings = rudderspindle_decide::settings::read(&json).expect("settings");
-        let names = rudderspindle_decide::settings::names(&json).expect("names");
-        let (to_engine, inputs) = mpsc::channel(16);
-        let (turn, door) = watch::channel(Door::Open);
-        let figures = Rc::new(Figures::new(&names.classes));
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a client");
-        let limits = Limits { sockets: 8, body_bytes: MAX_BODY };
-        spawn_local(Rc::new(Inbound::new(settings, names, limits, figures, to_engine, door)).run(listener));
-        (client, inputs, turn)
-    }
-
-    async fn next(inputs: &mut mpsc::Receiver<Input>) -> Input {
-        let input = timeout(Duration::from_secs(20), inputs.recv()).await;
-        input.expect("in time").expect("an input")
-    }
-
-    #[tokio::test]
-    async fn a_client_gone_before_its_answer_was_written_withdraws_its_message() {
-        let test = async {
-            let (mut client, mut inputs, _stop) = set_up().await;
-            client.write_all(REQUEST).await.expect("writable");
-            let Input::HandedIn(submission) = next(&mut inputs).await else { panic!("not handed in") };
-            drop(client);
-            let Input::Withdrawn(number) = next(&mut inputs).await else { panic!("not withdrawn") };
-            assert_eq!(number, submission.number);
-        };
-        tokio::task::LocalSet::new().run_until(test).await;
-    }
-
-    #[tokio::test]
-    async fn a_client_that_leaves_after_its_answer_withdraws_nothing() {
-        let test = async {
-            let (mut client, mut inputs, _stop) = set_up().await;
-            client.write_all(REQUEST).await.expect("writable");
-            let Input::HandedIn(submission) = next(&mut inputs).await else { panic!("not handed in") };
-            submission.answer.send(Answer::Accepted).expect("it waits");
-            let mut head = [0; 12];
-            client.read_exact(&mut head).await.expect("an answer");
-            assert_eq!(&head, b"HTTP/1.1 202");
-            drop(client);
-            let next = timeout(Duration::from_millis(200), inputs.recv()).await;
-            assert!(next.is_err(), "{next:?}");
-        };
-        tokio::task::LocalSet::new().run_until(test).await;
-    }
-}
+mod tests;
--- a/crates/sender/src/meter.rs
+++ b/crates/sender/src/meter.rs
@@ -187,11 +187,7 @@
 }
 
 impl Write for Metered {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<std::io::Result<usize>> {
         self.check_quiet()?;
         let result = Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, buf);
         self.count(&result);
