No connection of a client is closed over bytes that nobody has read

Seen: when a connection was chosen to go (for a newcomer, for another that rests, as overdue, at SIGTERM), serve dropped hyper's connection and with it the socket, whatever lay unread in the kernel (inbound.rs, serve: closing.notified() => break, and graceful_shutdown for a client at_rest); coming() and at_rest() knew only bytes that the process had read. A request that arrived in that instant was lost, and an answer ahead of the rest of its request (413, 400) was followed by a reset instead of an end.

Now a connection that is about to be chosen is peeked at first (the candidates only), and one with unread bytes is heard. Both listeners log a run of failures to accept as one line (50 a second before), and clients' free a descriptor when there is none (accept.rs).

--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -15,21 +15,23 @@
 use rudderspindle_decide::interface::*;
 use rudderspindle_decide::settings::Names;
 use rudderspindle_journal::MAX_BODY;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::accept::Acceptor;
 use crate::door::Door;
 use crate::event::Input;
 use crate::figures::Figures;
+use crate::linger;
 use crate::meter::{MAX_BUFFER, Metered};
 use crate::places::{ClientId, Places};
 use client::Client;
 
 /// How often the connections are looked over.
 const LOOK: Duration = Duration::from_millis(200);
-/// Pause after a connection could not be accepted or had no place.
+/// Pause after a connection had no place.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What all clients together may take up.
@@ -88,33 +90,26 @@
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         spawn_local(self.clone().look_after_clients());
         let mut door = self.door.clone();
+        let mut acceptor = Acceptor::new(listener, "clients");
         for number in 0.. {
-            let accepted = tokio::select! {
+            let (stream, peer) = tokio::select! {
                 biased;
                 _ = door.wait_for(|door| *door == Door::Leaving) => return,
-                accepted = listener.accept() => accepted,
+                accepted = acceptor.next(|| self.make_room()) => accepted,
             };
-            match accepted {
-                Ok((stream, peer)) => {
-                    let permit = self.place().await;
-                    let client = Rc::new(Client::new(number));
-                    self.clients.borrow_mut().insert(number, client.clone());
-                    self.places.borrow_mut().connected(number, peer.ip(), self.now());
-                    self.figures.client(true);
-                    let this = self.clone();
-                    spawn_local(async move {
-                        this.serve(stream, &client).await;
-                        this.clients.borrow_mut().remove(&number);
-                        this.places.borrow_mut().left(number);
-                        this.figures.client(false);
-                        drop(permit);
-                    });
-                }
-                Err(error) => {
-                    tracing::warn!("clients: a connection could not be accepted: {error}");
-                    sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            let permit = self.place().await;
+            let client = Rc::new(Client::new(number, stream));
+            self.clients.borrow_mut().insert(number, client.clone());
+            self.places.borrow_mut().connected(number, peer.ip(), self.now());
+            self.figures.client(true);
+            let this = self.clone();
+            spawn_local(async move {
+                this.serve(&client).await;
+                this.clients.borrow_mut().remove(&number);
+                this.places.borrow_mut().left(number);
+                this.figures.client(false);
+                drop((client, permit));
+            });
         }
     }
 
@@ -125,8 +120,7 @@
             if let Ok(permit) = self.sockets.clone().try_acquire_owned() {
                 return permit;
             }
-            let victim = self.places.borrow_mut().make_room(self.now(), |id| self.coming(id));
-            self.close(victim);
+            self.make_room();
             // Its task ends at once; or all have a request open, which the host answers soon.
             let freed = self.sockets.clone().acquire_owned();
             if let Ok(Ok(permit)) = timeout(ACCEPT_PAUSE, freed).await {
@@ -135,19 +129,31 @@
         }
     }
 
+    /// One connection less, if there is one that may go.
+    fn make_room(&self) {
+        let coming = |id| self.coming(id);
+        let victim = self.places.borrow_mut().make_room(self.now(), coming, |id| self.has_unread(id));
+        if let Some(client) = victim.and_then(|id| self.client(id)) {
+            client.close_now();
+        }
+    }
+
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
 
     /// Whether a client's next request has begun to come.
     fn coming(&self, id: ClientId) -> bool {
-        self.clients.borrow().get(&id).is_some_and(|client| client.owed.meter.heard().is_some())
+        self.client(id).is_some_and(|client| client.owed.meter.heard().is_some())
     }
 
-    fn close(&self, id: Option<ClientId>) {
-        if let Some(client) = id.and_then(|id| self.clients.borrow().get(&id).cloned()) {
-            client.close();
-        }
+    /// Whether bytes of a client have come that were not read: a request may be among them.
+    fn has_unread(&self, id: ClientId) -> bool {
+        self.client(id).is_some_and(|client| client.has_unread())
+    }
+
+    fn client(&self, id: ClientId) -> Option<Rc<Client>> {
+        self.clients.borrow().get(&id).cloned()
     }
 
     /// Closes connections whose time is up.
@@ -155,17 +161,29 @@
         loop {
             sleep(LOOK).await;
             let now = Instant::now();
-            self.clients.borrow().values().filter(|c| c.overdue(now)).for_each(|c| c.close());
+            self.clients
+                .borrow()
+                .values()
+                .filter(|c| c.overdue(now) && !c.has_unread())
+                .for_each(|c| c.close());
         }
     }
 
-    async fn serve(&self, stream: TcpStream, client: &Client) {
-        if stream.set_nodelay(true).is_err() {
-            return;
+    async fn serve(&self, client: &Client) {
+        self.converse(client).await;
+        // The client never heard that its message is taken on, and may hand it in elsewhere: drop it.
+        if let Some(number) = client.owed.unheard() {
+            let _ = self.host.send(Input::Withdrawn(number)).await;
         }
+        self.places.borrow_mut().leaves(client.id, self.now());
+        linger::finish(&client.socket, client.hurry.notified()).await;
+    }
+
+    /// Answers requests until the connection has to end.
+    async fn converse(&self, client: &Client) {
         let mut door = self.door.clone();
         door.mark_changed();
-        let io = Metered::new(Rc::new(RefCell::new(stream)), client.owed.meter.clone());
+        let io = Metered::new(client.socket.clone(), client.owed.meter.clone());
         let service = service_fn(|request| self.answer(request, client));
         let mut connection =
             pin!(http1::Builder::new().max_buf_size(MAX_BUFFER).serve_connection(io, service));
@@ -173,19 +191,18 @@
             tokio::select! {
                 biased;
                 // First: a request that is read once the connection was chosen to go would be lost with it.
-                () = client.closing.notified() => break,
+                () = client.closing.notified() => return,
                 // How it ended shows in what is still owed.
-                _ = connection.as_mut() => break,
+                _ = connection.as_mut() => return,
                 // A request that is coming is heard first; its answer ends the connection.
-                Ok(()) = door.changed() => if *door.borrow_and_update() != Door::Open && client.at_rest() {
-                    connection.as_mut().graceful_shutdown();
-                },
+                Ok(()) = door.changed() => {
+                    let open = *door.borrow_and_update() == Door::Open;
+                    if !open && client.at_rest() && !client.has_unread() {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
             }
         }
-        // The client never heard that its message is taken on, and may hand it in elsewhere: drop it.
-        if let Some(number) = client.owed.unheard() {
-            let _ = self.host.send(Input::Withdrawn(number)).await;
-        }
     }
 }
 
--- a/crates/sender/src/inbound/client.rs
+++ b/crates/sender/src/inbound/client.rs
@@ -1,14 +1,16 @@
 //! What is known of one client's connection: whether a request is open, until when the next one must have come, and
 //! which answer its client is owed.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::meter::Meter;
+use crate::linger;
+use crate::meter::{Meter, Socket};
 use crate::places::ClientId;
 
 /// So long after it connected a client's first request must have come, whole.
@@ -28,17 +30,22 @@
     /// Whether a request has come whole and is not answered.
     pub(super) asked: Cell<bool>,
     pub(super) closing: Notify,
+    /// Its place is needed: it is not waited for at its end.
+    pub(super) hurry: Notify,
+    pub(super) socket: Socket,
     pub(super) owed: OwedAnswer,
 }
 
 impl Client {
-    pub(super) fn new(id: ClientId) -> Self {
+    pub(super) fn new(id: ClientId, stream: TcpStream) -> Self {
         Self {
             id,
             rests_since: Cell::new(Instant::now()),
             known: Cell::new(false),
             asked: Cell::new(false),
             closing: Notify::new(),
+            hurry: Notify::new(),
+            socket: Rc::new(RefCell::new(stream)),
             owed: OwedAnswer::default(),
         }
     }
@@ -47,6 +54,17 @@
         self.closing.notify_one();
     }
 
+    /// Its descriptor is needed for another.
+    pub(super) fn close_now(&self) {
+        self.hurry.notify_one();
+        self.close();
+    }
+
+    /// Whether bytes have come that were not read.
+    pub(super) fn has_unread(&self) -> bool {
+        linger::has_unread(&self.socket)
+    }
+
     /// A request has its answer; the next one may come.
     pub(super) fn rest(&self) {
         self.asked.set(false);
--- a/crates/sender/src/inbound/requests.rs
+++ b/crates/sender/src/inbound/requests.rs
@@ -47,8 +47,11 @@
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         client.rest();
-        let surplus = self.places.borrow_mut().answered(client.id, self.now(), |id| self.coming(id));
-        self.close(surplus);
+        let wanted = |id| self.coming(id) || self.has_unread(id);
+        let surplus = self.places.borrow_mut().answered(client.id, self.now(), wanted);
+        if let Some(surplus) = surplus.and_then(|id| self.client(id)) {
+            surplus.close();
+        }
         Ok(answer)
     }
 
--- a/crates/sender/src/inbound/tests.rs
+++ b/crates/sender/src/inbound/tests.rs
@@ -1,59 +1,248 @@
+use std::net::SocketAddr;
+
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
 
 use super::*;
 use crate::event::Answer;
 
 const REQUEST: &[u8] = b"POST /safe HTTP/1.1\r\nHost: a\r\nX-Txn: m1\r\nX-Remaining: 5\r\n\
     X-Route-To: dest=7\r\nContent-Length: 4\r\n\r\ntext";
+const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+/// Nothing here takes so long unless it is broken.
+const PATIENCE: Duration = Duration::from_secs(20);
+const PLACES: usize = 8;
+
+/// The clients' side of a sender, without its engine.
+struct World {
+    inbound: Rc<Inbound>,
+    addr: SocketAddr,
+    inputs: mpsc::Receiver<Input>,
+    door: watch::Sender<Door>,
+}
+
+impl World {
+    async fn set_up() -> Self {
+        let json = serde_json::json!({
+            "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
+            "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
+        let settings = rudderspindle_decide::settings::read(&json).expect("settings");
+        let names = rudderspindle_decide::settings::names(&json).expect("names");
+        let (to_engine, inputs) = mpsc::channel(16);
+        let (door, at_the_door) = watch::channel(Door::Open);
+        let figures = Rc::new(Figures::new(&names.classes));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let limits = Limits { sockets: PLACES, body_bytes: MAX_BODY };
+        let inbound = Rc::new(Inbound::new(settings, names, limits, figures, to_engine, at_the_door));
+        spawn_local(inbound.clone().run(listener));
+        Self { inbound, addr, inputs, door }
+    }
+
+    async fn client(&self) -> TcpStream {
+        TcpStream::connect(self.addr).await.expect("a client")
+    }
 
-/// A client, and the host's end of the queue.
-async fn set_up() -> (TcpStream, mpsc::Receiver<Input>, watch::Sender<Door>) {
-    let json = serde_json::json!({
-        "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
-        "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
-    let settings = rudderspindle_decide::settings::read(&json).expect("settings");
-    let names = rudderspindle_decide::settings::names(&json).expect("names");
-    let (to_engine, inputs) = mpsc::channel(16);
-    let (turn, door) = watch::channel(Door::Open);
-    let figures = Rc::new(Figures::new(&names.classes));
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a client");
-    let limits = Limits { sockets: 8, body_bytes: MAX_BODY };
-    spawn_local(Rc::new(Inbound::new(settings, names, limits, figures, to_engine, door)).run(listener));
-    (client, inputs, turn)
+    /// A client that has been answered and rests, and its number.
+    async fn resting(&self) -> (TcpStream, ClientId) {
+        let mut client = self.client().await;
+        client.write_all(READY).await.expect("writable");
+        assert_eq!(answer(&mut client).await, 200);
+        (client, *self.inbound.clients.borrow().keys().last().expect("a connection"))
+    }
+
+    async fn input(&mut self) -> Input {
+        let input = timeout(PATIENCE, self.inputs.recv()).await;
+        input.expect("in time").expect("an input")
+    }
+
+    /// Writes on a connection without letting the runtime hear of it: what comes next meets bytes that are there and
+    /// that nobody has read.
+    fn slip_in(&self, client: &TcpStream, id: ClientId, bytes: &[u8]) {
+        assert_eq!(SockRef::from(client).send(bytes).expect("writable"), bytes.len());
+        while !self.inbound.has_unread(id) {
+            std::thread::yield_now();
+        }
+    }
+
+    /// A message is taken on, and its client hears it; then the connection ends well.
+    async fn takes_on(&mut self, client: &mut TcpStream) {
+        let heard = async {
+            // Not by the engine's patience: a connection that has ended says at once that the request is lost.
+            let mut first = [0; 1];
+            assert_eq!(client.peek(&mut first).await.expect("no reset"), 1, "it ended without an answer");
+        };
+        let taken = async {
+            let Some(Input::HandedIn(submission)) = self.inputs.recv().await else { panic!("not handed in") };
+            submission.answer.send(Answer::Accepted).expect("it waits");
+            std::future::pending::<()>().await
+        };
+        let either = async {
+            tokio::select! { () = heard => {}, () = taken => {} }
+        };
+        timeout(PATIENCE, either).await.expect("in time");
+        assert_eq!(answer(client).await, 202);
+    }
 }
 
-async fn next(inputs: &mut mpsc::Receiver<Input>) -> Input {
-    let input = timeout(Duration::from_secs(20), inputs.recv()).await;
-    input.expect("in time").expect("an input")
+/// The status of the next answer, which is read whole.
+async fn answer(client: &mut TcpStream) -> u16 {
+    let mut seen = Vec::new();
+    let length = |head: &str| {
+        let value = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        value.map_or(0, |value| value.parse::<usize>().expect("a length"))
+    };
+    loop {
+        let text = String::from_utf8_lossy(&seen);
+        if let Some((head, body)) = text.split_once("\r\n\r\n")
+            && body.len() >= length(head)
+        {
+            return head[9..12].parse().expect("a status");
+        }
+        let read = timeout(PATIENCE, client.read_buf(&mut seen)).await.expect("in time");
+        assert_ne!(read.expect("no reset"), 0, "it ended within {:?}", String::from_utf8_lossy(&seen));
+    }
+}
+
+/// Lets everything go on until it is so.
+async fn until(so: impl Fn() -> bool) {
+    let since = std::time::Instant::now();
+    while !so() {
+        assert!(since.elapsed() < PATIENCE, "in vain");
+        tokio::task::yield_now().await;
+    }
+}
+
+/// The clock stands still while this is kept, but not for good: a test that waits in vain ends.
+fn frozen() -> std::sync::mpsc::Sender<()> {
+    let (kept, gone) = std::sync::mpsc::channel();
+    tokio::task::spawn_blocking(move || gone.recv_timeout(PATIENCE));
+    kept
 }
 
 #[tokio::test]
 async fn a_client_gone_before_its_answer_was_written_withdraws_its_message() {
     let test = async {
-        let (mut client, mut inputs, _stop) = set_up().await;
+        let mut world = World::set_up().await;
+        let mut client = world.client().await;
         client.write_all(REQUEST).await.expect("writable");
-        let Input::HandedIn(submission) = next(&mut inputs).await else { panic!("not handed in") };
+        let Input::HandedIn(submission) = world.input().await else { panic!("not handed in") };
         drop(client);
-        let Input::Withdrawn(number) = next(&mut inputs).await else { panic!("not withdrawn") };
+        let Input::Withdrawn(number) = world.input().await else { panic!("not withdrawn") };
         assert_eq!(number, submission.number);
     };
-    tokio::task::LocalSet::new().run_until(test).await;
+    LocalSet::new().run_until(test).await;
 }
 
 #[tokio::test]
 async fn a_client_that_leaves_after_its_answer_withdraws_nothing() {
     let test = async {
-        let (mut client, mut inputs, _stop) = set_up().await;
+        let mut world = World::set_up().await;
+        let mut client = world.client().await;
         client.write_all(REQUEST).await.expect("writable");
-        let Input::HandedIn(submission) = next(&mut inputs).await else { panic!("not handed in") };
+        let Input::HandedIn(submission) = world.input().await else { panic!("not handed in") };
         submission.answer.send(Answer::Accepted).expect("it waits");
         let mut head = [0; 12];
         client.read_exact(&mut head).await.expect("an answer");
         assert_eq!(&head, b"HTTP/1.1 202");
         drop(client);
-        let next = timeout(Duration::from_millis(200), inputs.recv()).await;
+        let next = timeout(Duration::from_millis(200), world.inputs.recv()).await;
         assert!(next.is_err(), "{next:?}");
     };
-    tokio::task::LocalSet::new().run_until(test).await;
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn a_request_that_comes_on_a_resting_connection_in_the_instant_of_sigterm_is_answered() {
+    let test = async {
+        let mut world = World::set_up().await;
+        let (mut client, id) = world.resting().await;
+        world.slip_in(&client, id, REQUEST);
+        world.door.send_replace(Door::Stopping);
+        world.takes_on(&mut client).await;
+        assert_eq!(client.read(&mut [0; 1]).await.expect("no reset"), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Two may rest: the third answer ends the connection that has rested longest, which has just said something.
+#[tokio::test]
+async fn a_request_that_comes_as_its_connection_would_go_for_another_that_rests_is_answered() {
+    let test = async {
+        let mut world = World::set_up().await;
+        let (mut first, first_id) = world.resting().await;
+        let (mut second, _) = world.resting().await;
+        let third = world.client().await;
+        until(|| world.inbound.clients.borrow().len() >= 3).await;
+        world.slip_in(&third, 2, READY);
+        world.slip_in(&first, first_id, REQUEST);
+        world.takes_on(&mut first).await;
+        assert_eq!(second.read(&mut [0; 1]).await.expect("no reset"), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// All places are taken by clients that have said nothing, until the oldest does as one more connects.
+#[tokio::test]
+async fn a_request_that_comes_as_its_connection_would_go_for_a_newcomer_is_answered() {
+    let test = async {
+        let mut world = World::set_up().await;
+        let mut clients = Vec::new();
+        while clients.len() < PLACES {
+            clients.push(world.client().await);
+        }
+        until(|| world.inbound.clients.borrow().len() >= PLACES).await;
+        let _newcomer = std::net::TcpStream::connect(world.addr).expect("a connection");
+        world.slip_in(&clients[0], 0, REQUEST);
+        world.takes_on(&mut clients[0]).await;
+        assert_eq!(clients[1].read(&mut [0; 1]).await.expect("no reset"), 0);
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// A body that nobody wants is still read: closing over it would reset the connection, and the answer with it.
+#[tokio::test]
+async fn an_answer_ahead_of_the_rest_of_its_request_is_followed_by_an_end_and_no_reset() {
+    let test = async {
+        let world = World::set_up().await;
+        let mut client = world.client().await;
+        let head = "POST /safe HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n";
+        client.write_all(head.as_bytes()).await.expect("writable");
+        let (mut reader, mut writer) = client.split();
+        let (mut seen, body) = (Vec::new(), vec![b'x'; 200_000]);
+        let both = async { tokio::join!(reader.read_to_end(&mut seen), writer.write_all(&body)) };
+        let (read, written) = timeout(PATIENCE, both).await.expect("in time");
+        assert!(read.is_ok() && written.is_ok(), "{read:?}, {written:?}");
+        assert!(seen.starts_with(b"HTTP/1.1 413"), "{}", String::from_utf8_lossy(&seen));
+        // What crosses the end is read, too.
+        writer.write_all(REQUEST).await.expect("no reset");
+        writer.shutdown().await.expect("no reset");
+        until(|| world.inbound.clients.borrow().is_empty()).await;
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Clients that were answered and told to go hold on to their connections.
+#[tokio::test(start_paused = true)]
+async fn connections_that_end_slowly_keep_their_places_only_until_others_need_them_or_for_a_while() {
+    let test = async {
+        let _frozen = frozen();
+        let world = World::set_up().await;
+        let mut slow = Vec::new();
+        while slow.len() < PLACES {
+            let mut client = world.client().await;
+            client.write_all(b"PUT / HTTP/1.1\r\nHost: a\r\n\r\n").await.expect("writable");
+            assert_eq!(answer(&mut client).await, 405);
+            slow.push(client);
+        }
+        let (_newcomer, id) = world.resting().await;
+        let open = |world: &World| world.inbound.clients.borrow().keys().copied().collect::<Vec<_>>();
+        assert_eq!((open(&world), id), ((1..=8).collect(), 8), "the first to go is the first to be let go");
+        tokio::time::advance(linger::LONGEST).await;
+        until(|| open(&world).len() == 1).await;
+        assert_eq!(open(&world), [8]);
+    };
+    LocalSet::new().run_until(test).await;
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -23,6 +23,7 @@
 //! # }
 //! ```
 
+mod accept;
 mod config;
 mod discovery;
 mod doings;
@@ -34,6 +35,7 @@
 mod handover;
 mod inbound;
 mod life;
+mod linger;
 mod meter;
 mod operator;
 mod outbound;
--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -16,11 +16,13 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
+use crate::accept::Acceptor;
 use crate::door::Door;
 use crate::event::Input;
 use crate::figures::Figures;
+use crate::linger;
 
 /// Connections that are open at once; beyond it the longest open one goes.
 const MOST_CALLERS: usize = 12;
@@ -30,8 +32,6 @@
 const CALL_TIME: Duration = Duration::from_secs(5);
 /// For so long the engine is asked how it stands; then what it said last is told. A caller waits 1 s.
 const LOOK_TIME: Duration = Duration::from_millis(300);
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What an operator may ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,15 +65,9 @@
     /// Answers for good.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let callers: Rc<RefCell<BTreeMap<u64, Rc<Notify>>>> = Rc::default();
+        let mut acceptor = Acceptor::new(listener, "control");
         for number in 0.. {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    tracing::warn!("control: a connection could not be accepted: {error}");
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+            let (mut stream, _) = acceptor.next(|| ()).await;
             if callers.borrow().len() >= MOST_CALLERS
                 && let Some((_, oldest)) = callers.borrow_mut().pop_first()
             {
@@ -87,14 +81,15 @@
                     biased;
                     () = close.notified() => {}
                     // Who says nothing, or does not read the answer, is let go.
-                    _ = timeout(CALL_TIME, this.serve(stream)) => {}
+                    _ = timeout(CALL_TIME, this.serve(&mut stream)) => {}
                 }
+                linger::finish(&Rc::new(RefCell::new(stream)), close.notified()).await;
                 callers.borrow_mut().remove(&number);
             });
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+    async fn serve(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         let (reader, mut writer) = stream.split();
         let mut line = Vec::new();
         BufReader::new(reader.take(LONGEST_LINE)).read_until(b'\n', &mut line).await?;
--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -4,9 +4,9 @@
 //! connection less for its next message, and where many do so, what they have to say waits on their side and
 //! never comes. So connections that rest (no request open) hold at most [`RESTING_PART`] of the places, however
 //! many are free; beyond it the one that has rested longest goes, one that asked only once before one that has
-//! come back. When all places are taken, silent newcomers go first, from the address that holds most of them.
+//! come back. When all places are taken, those that were told to go are waited for no longer; then silent newcomers go first, from the address that holds most of them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     Again,
     /// It has a request that has come whole and is not answered.
     Asking,
+    /// It was told to go, and what it still sends is discarded.
+    Leaving,
 }
 
 #[derive(Debug)]
@@ -49,6 +51,7 @@
     new: BTreeSet<(Duration, ClientId)>,
     once: BTreeSet<(Duration, ClientId)>,
     again: BTreeSet<(Duration, ClientId)>,
+    leaving: BTreeSet<(Duration, ClientId)>,
 }
 
 impl Places {
@@ -60,6 +63,7 @@
             new: BTreeSet::new(),
             once: BTreeSet::new(),
             again: BTreeSet::new(),
+            leaving: BTreeSet::new(),
         }
     }
 
@@ -94,11 +98,16 @@
         }
         let mut resting = self.once.iter().chain(&self.again);
         let surplus = resting.find(|c| c.1 != id && !coming(c.1))?.1;
-        self.left(surplus);
+        self.leaves(surplus, now);
         Some(surplus)
     }
 
-    /// It is gone, or was told to go.
+    /// It was told to go.
+    pub fn leaves(&mut self, id: ClientId, now: Duration) {
+        self.turn(id, State::Leaving, now);
+    }
+
+    /// It is gone.
     pub fn left(&mut self, id: ClientId) {
         if let Some(client) = self.clients.remove(&id)
             && let Some(set) = self.set(client.state)
@@ -107,27 +116,53 @@
         }
     }
 
-    /// Who must go when all places are taken; `coming` tells whose request has begun to come. Nobody, if all
-    /// have a request open.
-    pub fn make_room(&mut self, now: Duration, coming: impl Fn(ClientId) -> bool) -> Option<ClientId> {
-        let silent = |&&(_, id): &&(Duration, ClientId)| !coming(id);
-        let victim = (self.longest_silent(now, &coming))
+    /// Who must go when all places are taken; `coming` tells whose request has begun to come, and `unread` (which
+    /// costs more, and is asked of few) who has sent something that nobody has read yet. Nobody, if all have a
+    /// request open.
+    pub fn make_room(
+        &mut self,
+        now: Duration,
+        coming: impl Fn(ClientId) -> bool,
+        unread: impl Fn(ClientId) -> bool,
+    ) -> Option<ClientId> {
+        let mut spared = HashSet::new();
+        let victim = loop {
+            let victim = self.least_wanted(now, &coming, &spared)?;
+            if self.clients[&victim].state == State::Leaving || !unread(victim) {
+                break victim;
+            }
+            spared.insert(victim);
+        };
+        self.left(victim);
+        Some(victim)
+    }
+
+    fn least_wanted(
+        &self,
+        now: Duration,
+        coming: &impl Fn(ClientId) -> bool,
+        spared: &HashSet<ClientId>,
+    ) -> Option<ClientId> {
+        let silent = |&&(_, id): &&(Duration, ClientId)| !spared.contains(&id) && !coming(id);
+        (self.leaving.first().map(|c| c.1))
+            .or_else(|| self.longest_silent(now, silent))
             .or_else(|| self.once.iter().find(silent).map(|c| c.1))
             .or_else(|| self.again.iter().find(silent).map(|c| c.1))
             .or_else(|| self.new.iter().find(silent).map(|c| c.1))
             // All that are left have said something: the one whose request has taken longest to come.
-            .or_else(|| self.any().min().map(|c| c.1))?;
-        self.left(victim);
-        Some(victim)
+            .or_else(|| self.any(spared).min().map(|c| c.1))
     }
 
     /// A newcomer silent for over [`SHY`]: from the address with most of them, the longest silent there.
-    fn longest_silent(&self, now: Duration, coming: &impl Fn(ClientId) -> bool) -> Option<ClientId> {
+    fn longest_silent(
+        &self,
+        now: Duration,
+        silent: impl Fn(&&(Duration, ClientId)) -> bool,
+    ) -> Option<ClientId> {
         let mut by_address: HashMap<IpAddr, (usize, (Duration, ClientId))> = HashMap::new();
-        for &(since, id) in self.new.iter().take_while(|c| now.saturating_sub(c.0) > SHY) {
-            if !coming(id) {
-                by_address.entry(self.clients[&id].address).or_insert((0, (since, id))).0 += 1;
-            }
+        let shy = self.new.iter().take_while(|c| now.saturating_sub(c.0) > SHY);
+        for &(since, id) in shy.filter(silent) {
+            by_address.entry(self.clients[&id].address).or_insert((0, (since, id))).0 += 1;
         }
         by_address
             .into_values()
@@ -135,8 +170,9 @@
             .map(|(_, c)| c.1)
     }
 
-    fn any(&self) -> impl Iterator<Item = &(Duration, ClientId)> {
-        [&self.new, &self.once, &self.again].into_iter().filter_map(BTreeSet::first)
+    fn any(&self, spared: &HashSet<ClientId>) -> impl Iterator<Item = &(Duration, ClientId)> {
+        let sets = [&self.new, &self.once, &self.again].into_iter();
+        sets.filter_map(|set| set.iter().find(|c| !spared.contains(&c.1)))
     }
 
     fn turn(&mut self, id: ClientId, state: State, now: Duration) {
@@ -156,6 +192,7 @@
             State::New => Some(&mut self.new),
             State::Once => Some(&mut self.once),
             State::Again => Some(&mut self.again),
+            State::Leaving => Some(&mut self.leaving),
             State::Asking => None,
         }
     }
--- a/crates/sender/src/places/tests.rs
+++ b/crates/sender/src/places/tests.rs
@@ -54,12 +54,12 @@
     places.connected(2, from(2), at(2));
     places.connected(3, from(3), at(3));
     places.answered(3, at(4), nobody);
-    assert_eq!(places.make_room(at(400), nobody), Some(1));
+    assert_eq!(places.make_room(at(400), nobody, nobody), Some(1));
     // One from each: the longest silent.
-    assert_eq!(places.make_room(at(400), nobody), Some(0));
-    assert_eq!(places.make_room(at(400), |id| id == 2), Some(3));
-    assert_eq!(places.make_room(at(400), |id| id == 2), Some(2));
-    assert_eq!(places.make_room(at(400), nobody), None);
+    assert_eq!(places.make_room(at(400), nobody, nobody), Some(0));
+    assert_eq!(places.make_room(at(400), |id| id == 2, nobody), Some(3));
+    assert_eq!(places.make_room(at(400), |id| id == 2, nobody), Some(2));
+    assert_eq!(places.make_room(at(400), nobody, nobody), None);
 }
 
 #[test]
@@ -70,7 +70,7 @@
     places.connected(1, from(1), at(100));
     places.connected(2, from(1), at(50));
     places.answered(2, at(60), nobody);
-    let victims = [0; 3].map(|_| places.make_room(at(101), nobody));
+    let victims = [0; 3].map(|_| places.make_room(at(101), nobody, nobody));
     assert_eq!(victims, [Some(2), Some(1), None]);
 }
 
@@ -95,7 +95,7 @@
                 1 => places.asks(id, now),
                 2 => drop(places.answered(id, now, nobody)),
                 3 => places.left(id),
-                _ => drop(places.make_room(now, |id| id % 4 == 0)),
+                _ => drop(places.make_room(now, |id| id % 4 == 0, |id| id % 5 == 0)),
             }
             let count = |state| places.clients.values().filter(|c| c.state == state).count();
             prop_assert_eq!(places.new.len(), count(State::New));
