--- a/crates/sender/src/places.rs
+++ b/crates/sender/src/places.rs
@@ -4,9 +4,9 @@
 //! connection less for its next message, and where many do so, what they have to say waits on their side and
 //! never comes. So connections that rest (no request open) hold at most [`RESTING_PART`] of the places, however
 //! many are free; beyond it the one that has rested longest goes, one that asked only once before one that has
-//! come back. When all places are taken, silent newcomers go first, from the address that holds most of them.
+//! come back. When all places are taken, those that were told to go are waited for no longer; then silent newcomers go first, from the address that holds most of them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     Again,
     /// It has a request that has come whole and is not answered.
     Asking,
+    /// It was told to go, and what it still sends is discarded.
+    Leaving,
 }
 
 #[derive(Debug)]
@@ -49,6 +51,7 @@
     new: BTreeSet<(Duration, ClientId)>,
     once: BTreeSet<(Duration, ClientId)>,
     again: BTreeSet<(Duration, ClientId)>,
+    leaving: BTreeSet<(Duration, ClientId)>,
 }
 
 impl Places {
@@ -60,6 +63,7 @@
             new: BTreeSet::new(),
             once: BTreeSet::new(),
             again: BTreeSet::new(),
+            leaving: BTreeSet::new(),
         }
     }
 
@@ -94,11 +98,16 @@
         }
         let mut resting = self.once.iter().chain(&self.again);
         let surplus = resting.find(|c| c.1 != id && !coming(c.1))?.1;
-        self.left(surplus);
+        self.leaves(surplus, now);
         Some(surplus)
     }
 
-    /// It is gone, or was told to go.
+    /// It was told to go.
+    pub fn leaves(&mut self, id: ClientId, now: Duration) {
+        self.turn(id, State::Leaving, now);
+    }
+
+    /// It is gone.
     pub fn left(&mut self, id: ClientId) {
         if let Some(client) = self.clients.remove(&id)
             && let Some(set) = self.set(client.state)
@@ -107,27 +116,53 @@
         }
     }
 
-    /// Who must go when all places are taken; `coming` tells whose request has begun to come. Nobody, if all
-    /// have a request open.
-    pub fn make_room(&mut self, now: Duration, coming: impl Fn(ClientId) -> bool) -> Option<ClientId> {
-        let silent = |&&(_, id): &&(Duration, ClientId)| !coming(id);
-        let victim = (self.longest_silent(now, &coming))
+    /// Who must go when all places are taken; `coming` tells whose request has begun to come, and `unread` (which
+    /// costs more, and is asked of few) who has sent something that nobody has read yet. Nobody, if all have a
+    /// request open.
+    pub fn make_room(
+        &mut self,
+        now: Duration,
+        coming: impl Fn(ClientId) -> bool,
+        unread: impl Fn(ClientId) -> bool,
+    ) -> Option<ClientId> {
+        let mut spared = HashSet::new();
+        let victim = loop {
+            let victim = self.least_wanted(now, &coming, &spared)?;
+            if self.clients[&victim].state == State::Leaving || !unread(victim) {
+                break victim;
+            }
+            spared.insert(victim);
+        };
+        self.left(victim);
+        Some(victim)
+    }
+
+    fn least_wanted(
+        &self,
+        now: Duration,
+        coming: &impl Fn(ClientId) -> bool,
+        spared: &HashSet<ClientId>,
+    ) -> Option<ClientId> {
+        let silent = |&&(_, id): &&(Duration, ClientId)| !spared.contains(&id) && !coming(id);
+        (self.leaving.first().map(|c| c.1))
+            .or_else(|| self.longest_silent(now, silent))
             .or_else(|| self.once.iter().find(silent).map(|c| c.1))
             .or_else(|| self.again.iter().find(silent).map(|c| c.1))
             .or_else(|| self.new.iter().find(silent).map(|c| c.1))
             // All that are left have said something: the one whose request has taken longest to come.
-            .or_else(|| self.any().min().map(|c| c.1))?;
-        self.left(victim);
-        Some(victim)
+            .or_else(|| self.any(spared).min().map(|c| c.1))
     }
 
     /// A newcomer silent for over [`SHY`]: from the address with most of them, the longest silent there.
-    fn longest_silent(&self, now: Duration, coming: &impl Fn(ClientId) -> bool) -> Option<ClientId> {
+    fn longest_silent(
+        &self,
+        now: Duration,
+        silent: impl Fn(&&(Duration, ClientId)) -> bool,
+    ) -> Option<ClientId> {
         let mut by_address: HashMap<IpAddr, (usize, (Duration, ClientId))> = HashMap::new();
-        for &(since, id) in self.new.iter().take_while(|c| now.saturating_sub(c.0) > SHY) {
-            if !coming(id) {
-                by_address.entry(self.clients[&id].address).or_insert((0, (since, id))).0 += 1;
-            }
+        let shy = self.new.iter().take_while(|c| now.saturating_sub(c.0) > SHY);
+        for &(since, id) in shy.filter(silent) {
+            by_address.entry(self.clients[&id].address).or_insert((0, (since, id))).0 += 1;
         }
         by_address
             .into_values()
@@ -135,8 +170,9 @@
             .map(|(_, c)| c.1)
     }
 
-    fn any(&self) -> impl Iterator<Item = &(Duration, ClientId)> {
-        [&self.new, &self.once, &self.again].into_iter().filter_map(BTreeSet::first)
+    fn any(&self, spared: &HashSet<ClientId>) -> impl Iterator<Item = &(Duration, ClientId)> {
+        let sets = [&self.new, &self.once, &self.again].into_iter();
+        sets.filter_map(|set| set.iter().find(|c| !spared.contains(&c.1)))
     }
 
     fn turn(&mut self, id: ClientId, state: State, now: Duration) {
@@ -156,121 +192,11 @@
             State::New => Some(&mut self.new),
             State::Once => Some(&mut self.once),
             State::Again => Some(&mut self.again),
+            State::Leaving => Some(&mut self.leaving),
             State::Asking => None,
         }
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    use proptest::prelude::*;
-
-    fn at(ms: u64) -> Duration {
-        Duration::from_millis(ms)
-    }
-
-    fn from(host: u8) -> IpAddr {
-        IpAddr::from([127, 0, 0, host])
-    }
-
-    fn nobody(_: ClientId) -> bool {
-        false
-    }
-
-    #[test]
-    fn resting_connections_hold_a_quarter_and_the_longest_at_rest_goes_first() {
-        let mut places = Places::new(16);
-        for id in 0..4 {
-            places.connected(id, from(1), at(id));
-            assert_eq!(places.answered(id, at(10 + id), nobody), None);
-        }
-        places.connected(4, from(1), at(20));
-        assert_eq!(places.answered(4, at(20), nobody), Some(0));
-        // One that comes back is worth more than those that have asked once, however long it rests.
-        places.asks(1, at(30));
-        assert_eq!(places.answered(1, at(31), nobody), None);
-        for id in 5..9 {
-            places.connected(id, from(1), at(40));
-            assert!(places.answered(id, at(40 + id), nobody).is_some_and(|gone| gone != 1 && gone != id));
-        }
-        // Its next request is on its way: not this one.
-        places.connected(9, from(1), at(60));
-        assert_eq!(places.answered(9, at(60), |id| id == 6), Some(7));
-    }
-
-    #[test]
-    fn an_answer_never_ends_its_own_connection() {
-        let mut places = Places::new(4);
-        places.connected(0, from(1), at(0));
-        places.answered(0, at(1), nobody);
-        places.asks(0, at(2));
-        places.answered(0, at(3), nobody);
-        places.connected(1, from(1), at(4));
-        assert_eq!(places.answered(1, at(5), nobody), Some(0));
-    }
-
-    #[test]
-    fn the_address_with_most_silent_newcomers_gives_up_its_longest_silent_one() {
-        let mut places = Places::new(16);
-        places.connected(0, from(1), at(0));
-        places.connected(1, from(2), at(1));
-        places.connected(2, from(2), at(2));
-        places.connected(3, from(3), at(3));
-        places.answered(3, at(4), nobody);
-        assert_eq!(places.make_room(at(400), nobody), Some(1));
-        // One from each: the longest silent.
-        assert_eq!(places.make_room(at(400), nobody), Some(0));
-        assert_eq!(places.make_room(at(400), |id| id == 2), Some(3));
-        assert_eq!(places.make_room(at(400), |id| id == 2), Some(2));
-        assert_eq!(places.make_room(at(400), nobody), None);
-    }
-
-    #[test]
-    fn young_newcomers_go_after_those_that_rest_and_open_requests_never() {
-        let mut places = Places::new(16);
-        places.connected(0, from(1), at(0));
-        places.asks(0, at(1));
-        places.connected(1, from(1), at(100));
-        places.connected(2, from(1), at(50));
-        places.answered(2, at(60), nobody);
-        let victims = [0; 3].map(|_| places.make_room(at(101), nobody));
-        assert_eq!(victims, [Some(2), Some(1), None]);
-    }
-
-    proptest! {
-        #![proptest_config(ProptestConfig {
-            rng_seed: proptest::test_runner::RngSeed::Fixed(3),
-            failure_persistence: None,
-            ..ProptestConfig::default()
-        })]
-
-        /// Whatever comes in whatever order, also for connections that are not there: what is kept is bounded by
-        /// those that are, and each stands in the one set that its state says.
-        #[test]
-        fn the_sets_hold_each_connection_once(
-            steps in prop::collection::vec((0..5u8, 0..12u64, 0..200u64), 1..200),
-        ) {
-            let (mut places, mut now) = (Places::new(12), Duration::ZERO);
-            for (what, id, later) in steps {
-                now += at(later);
-                match what {
-                    0 => places.connected(id, from(id as u8 % 3), now),
-                    1 => places.asks(id, now),
-                    2 => drop(places.answered(id, now, nobody)),
-                    3 => places.left(id),
-                    _ => drop(places.make_room(now, |id| id % 4 == 0)),
-                }
-                let count = |state| places.clients.values().filter(|c| c.state == state).count();
-                prop_assert_eq!(places.new.len(), count(State::New));
-                prop_assert_eq!(places.once.len(), count(State::Once));
-                prop_assert_eq!(places.again.len(), count(State::Again));
-                prop_assert!(places.once.len() + places.again.len() <= places.resting_most);
-                for (since, id) in places.new.iter().chain(&places.once).chain(&places.again) {
-                    prop_assert_eq!(places.clients[id].since, *since);
-                }
-            }
-        }
-    }
-}
+mod tests;
