Memory for bodies follows the limits told, without one site's 192 MB as its top

Need: the memory limit counted as 192 MB at the most, which is one deployment's `limits.memory_mb`: a sender with ten times the memory and sockets had no more room for bodies that have not come whole.

Change: an eighth of the limit, at most what all clients' connections can hold (64 KiB each), at least that of 8 MB. With 192 MB or less and 1,024 sockets the figure is what it was. The top also keeps a memory limit beyond all sense (1e300) from more permits than a semaphore can have.

Seen to fail: the test, with the 192 MB back, without the top, without the 8 MB.

--- a/crates/sender/src/config/limits.rs
+++ b/crates/sender/src/config/limits.rs
@@ -1,14 +1,16 @@
 //! What the machine gives.
 
 use rudderspindle_decide::settings::{Field, Range, ReadError};
+use rudderspindle_journal::MAX_BODY;
 
 /// Descriptors that are neither clients' nor receivers': files, the listener, discovery, the runtime's.
 const OTHER_SOCKETS: usize = 40;
 /// The fewest descriptors with which one is left for clients and one for receivers.
 const LEAST_SOCKETS: u32 = OTHER_SOCKETS as u32 + 2;
-/// Part of the memory limit for bodies that have not come whole, and between which limits it is reckoned.
+/// Part of the memory limit for bodies that have not come whole.
 const BODY_PART: f64 = 0.125;
-const MEMORY_MB: (f64, f64) = (8.0, 192.0);
+/// A memory limit that is not told, or lower, counts as this one, MB: less leaves room for a few bodies only.
+const LEAST_MEMORY_MB: f64 = 8.0;
 
 const DISK: Range = Range::new("a number of MB above 0", |x| x > 0.0);
 const MEMORY: Range = Range::new("a number of MB, 0 or more", |x| x >= 0.0);
@@ -40,8 +42,9 @@
         self.sockets.saturating_sub(OTHER_SOCKETS) / 2
     }
 
-    /// Memory for bodies that have not come whole.
+    /// Memory for bodies that have not come whole: no more than all clients' connections can hold.
     pub(crate) fn body_bytes(&self) -> usize {
-        (self.memory_mb.clamp(MEMORY_MB.0, MEMORY_MB.1) * 1_000_000.0 * BODY_PART) as usize
+        let part = self.memory_mb.max(LEAST_MEMORY_MB) * 1_000_000.0 * BODY_PART;
+        (part as usize).min(self.share().saturating_mul(MAX_BODY))
     }
 }
--- a/crates/sender/src/config/tests.rs
+++ b/crates/sender/src/config/tests.rs
@@ -1,4 +1,7 @@
-use super::{Config, senders};
+use rudderspindle_decide::settings::Field;
+use serde_json::json;
+
+use super::{Config, Limits, senders};
 
 /// What is told of peers must not keep a sender from starting, nor have it send notes where they are not allowed.
 #[test]
@@ -40,3 +43,21 @@
     // Nothing to go by: the settings are refused, as a number of senders that cannot be.
     assert_eq!(senders(Some(0), 0), (0, None));
 }
+
+#[test]
+fn memory_for_bodies_follows_the_limits_and_no_figure_of_a_site() {
+    let bytes = |sockets: f64, memory: Option<f64>| {
+        let json = json!({"sockets": sockets, "disk_mb": 3, "memory_mb": memory});
+        Limits::read(&Field::new(&json, "limits")).expect("limits").body_bytes()
+    };
+    assert_eq!(bytes(1024.0, Some(192.0)), 24_000_000);
+    assert_eq!(bytes(65_536.0, Some(192.0)), 24_000_000);
+    assert_eq!(bytes(65_536.0, Some(1_920.0)), 240_000_000);
+    // No more than 64 KiB for each of 492 clients, however much memory there is.
+    assert_eq!(bytes(1024.0, Some(1_920.0)), 492 * 65_536);
+    assert_eq!(bytes(1024.0, Some(1e300)), 492 * 65_536);
+    // A limit that is not told, or hardly any.
+    for memory in [None, Some(0.0), Some(7.0)] {
+        assert_eq!(bytes(1024.0, memory), 1_000_000);
+    }
+}
