--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -21,11 +21,11 @@
 //! let mut journal = Store::open(folder.path(), 3_000_000)?;
 //! journal.take(Message {
 //!     txn: "9b1f03aa".into(),
-//!     class: "clip-drop".into(),
+//!     class: "notice".into(),
 //!     tenant: "acme".into(),
 //!     destination: 7,
 //!     key: None,
-//!     deadline: rudderspindle_journal::wall_ms() + 28_000,
+//!     deadline: rudderspindle_journal::wall_ms() + 20_000,
 //!     body: "text".into(),
 //!     attempts: 0,
 //!     may_have_run: None,
@@ -33,7 +33,7 @@
 //! });
 //! // Only now may its client hear that it is taken on.
 //! journal.commit()?;
-//! journal.attempt(&"9b1f03aa".into(), Ran { at: 1, receiver: "r1".into(), zone: "hall-a".into() });
+//! journal.attempt(&"9b1f03aa".into(), Ran { at: 1, receiver: "r1".into(), zone: "left".into() });
 //! // Only now may its first byte go out.
 //! journal.commit()?;
 //! drop(journal);
