The stand-ins' world and the rig name no site's classes and tenants

The stand-ins' clients had the class and tenant names of one deployment, and their world listed the tenants once more; the rig's load had them, too.

Change: `keyed` and `safe`, `tenant-a` to `tenant-e`, named in one place; `acme` in the rig. Names only: traffic, deadlines and parts are drawn as before.

--- a/crates/rig/src/http2.rs
+++ b/crates/rig/src/http2.rs
@@ -39,7 +39,7 @@
 const SECONDS: u16 = 8;
 /// Runs of each kind, in turn.
 const PAIRS: usize = 3;
-/// A clip drop is wanted within this time.
+/// A push is wanted within this time.
 const AIM: Duration = Duration::from_secs(4);
 /// No call is given longer.
 const DEADLINE: Duration = Duration::from_secs(12);
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -131,9 +131,9 @@
     let config = json!({"discovery": agent.addr().to_string(), "seed": format!("{seed:x}"),
         "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 8192, "disk_mb": 64}, "known": agent.list(),
         "settings": {"azs": ["hall-a"], "kinds": ["any-size"], "peers_total": 1, "tick": load.tick_ms, "weights": "nominal",
-            "lanes": [{"name": "clip-status", "effect": "free", "deadline": 20000.0, "target": 2000.0,
+            "lanes": [{"name": "safe", "effect": "free", "deadline": 20000.0, "target": 2000.0,
                        "credit": 3.0, "late_worth": 0.3}],
-            "projects": [{"name": "narmada-sports", "fraction": 1.0, "quota_per_s": 1e6}],
+            "projects": [{"name": "acme", "fraction": 1.0, "quota_per_s": 1e6}],
             "extra": {"bundle_max": [1], "kind_apart": [false], "calls_out": 3000},
             "limits": {"connect_timeout": 1500.0, "idle_close": 15000.0, "max_attempts": 12, "most_held": 20000,
                        "max_retry_after": 3000.0, "retry_after": true},
@@ -263,8 +263,8 @@
         }
         let destination = (client as u64 * 7 + n) % destinations as u64;
         let request = format!(
-            "POST /clip-status HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {client:04x}{n:012x}\r\n\
-             X-Org: narmada-sports\r\nX-Remaining: 20.000\r\nX-Route-To: dest={destination}\r\n\
+            "POST /safe HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {client:04x}{n:012x}\r\n\
+             X-Org: acme\r\nX-Remaining: 20.000\r\nX-Route-To: dest={destination}\r\n\
              Content-Length: 200\r\n\r\n{:200}",
             "text"
         );
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -49,19 +49,14 @@
     pub size: usize,
 }
 
-/// The accounts, and their shares.
-const TENANTS: [(&str, f64); 5] = [
-    ("saurashtra-league", 0.45),
-    ("narmada-sports", 0.19),
-    ("kutch-cricket", 0.15),
-    ("vadodara-club", 0.11),
-    ("anand-youth", 0.10),
-];
+/// The tenants, and their parts of the traffic.
+pub const TENANTS: [(&str, f64); 5] =
+    [("tenant-a", 0.45), ("tenant-b", 0.19), ("tenant-c", 0.15), ("tenant-d", 0.11), ("tenant-e", 0.10)];
 
 /// The classes, and how long each may be delivered.
-pub const CLIP_DROP: (&str, Duration) = ("clip-drop", Duration::from_millis(28_000));
-/// See [`CLIP_DROP`].
-pub const CLIP_STATUS: (&str, Duration) = ("clip-status", Duration::from_millis(20_000));
+pub const KEYED: (&str, Duration) = ("keyed", Duration::from_millis(28_000));
+/// See [`KEYED`].
+pub const SAFE: (&str, Duration) = ("safe", Duration::from_millis(20_000));
 
 /// All that clients will hand in: the same for the same script. `longest` bounds how long a message may be
 /// delivered, so that an evening has an end.
@@ -92,7 +87,7 @@
                 share -= part;
                 share < 0.0
             });
-            let (class, left) = if draw.chance(traffic.status_share.get()) { CLIP_STATUS } else { CLIP_DROP };
+            let (class, left) = if draw.chance(traffic.status_share.get()) { SAFE } else { KEYED };
             let again =
                 draw.chance(traffic.retries.get()).then(|| Duration::from_secs_f64(draw.between(0.33, 1.2)));
             planned.push(Planned {
@@ -294,8 +289,7 @@
 /// What a bad client writes; never a message that could be taken on.
 fn nonsense(draw: &mut Draw) -> Vec<u8> {
     let post = |headers: &str, body: &str| {
-        format!("POST /clip-status HTTP/1.1\r\nHost: a\r\nX-Org: narmada-sports\r\n{headers}\r\n\r\n{body}")
-            .into_bytes()
+        format!("POST /safe HTTP/1.1\r\nHost: a\r\nX-Org: tenant-b\r\n{headers}\r\n\r\n{body}").into_bytes()
     };
     match draw.whole(0, 8) {
         0 => (0..200).map(|_| draw.whole(0, 256) as u8).collect(),
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -333,7 +333,7 @@
 pub struct Traffic {
     /// Messages a second to all senders together.
     pub per_s: PerSecond,
-    /// Share of clip-status among them; the rest is clip-drop.
+    /// Share of the safe class among them; the rest is keyed.
     pub status_share: Share,
     /// Share that comes in clumps for one partner.
     pub clumps: Share,
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::agent::{Agent, Entry};
-use crate::client::{self, CLIP_DROP, CLIP_STATUS, Clients};
+use crate::client::{self, Clients, KEYED, SAFE, TENANTS};
 use crate::evidence::{Class, Effect, Endpoint, Event, Evidence, Group, Line, Rules};
 use crate::judge::{Judge, LATE_US};
 use crate::link::{Fault, Link};
@@ -45,8 +45,8 @@
         ordered: false,
     };
     vec![
-        class(CLIP_DROP, Effect::Keyed, Group::Hall, KEY_TIME, 4_000),
-        class(CLIP_STATUS, Effect::Safe, Group::All, Duration::ZERO, 2_000),
+        class(KEYED, Effect::Keyed, Group::Hall, KEY_TIME, 4_000),
+        class(SAFE, Effect::Safe, Group::All, Duration::ZERO, 2_000),
     ]
 }
 
@@ -79,9 +79,10 @@
                "credit": if c.effect == Effect::Safe { 3.0 } else { 1.0 }, "deadline": c.deadline_ms,
                "late_worth": 0.3})
     };
-    let tenants = ["saurashtra-league", "narmada-sports", "kutch-cricket", "vadodara-club", "anand-youth"];
-    let projects: Vec<Value> =
-        tenants.iter().map(|name| json!({"name": name, "fraction": 0.2, "quota_per_s": 1000.0})).collect();
+    let projects: Vec<Value> = TENANTS
+        .iter()
+        .map(|(name, _)| json!({"name": name, "fraction": 0.2, "quota_per_s": 1000.0}))
+        .collect();
     json!({"discovery": agent.addr().to_string(), "seed": format!("{:016x}", 0x9e37_79b9 + me as u64),
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 16},
         "known": agent.list(),
