The program is killed at named points and at each message of a handover, and a silent connection holds up no successor

Restart: five points at which the program stops for a test to kill it: a message decided on and not on record; on record and its 202 not out; an attempt on record and no byte of it out; an answer read and not on record; a notice acknowledged and not on record. A sixth needs none: a platform that does not answer a notice.

Handover: a scripted owner that dies after each line that it says, and after half of the next; a successor that dies and is followed by another; both die and a third starts; the list changes while both run; strangers on the socket.

Two faults: an owner greeted one connection after the other, and one that said nothing held up a successor for 2 s, as long as that waits: it then did without what the owner knew, and sent within waits that the owner had been told. Each is greeted by itself now, 8 at most. And a successor that came before the end of the one before it had been seen was turned away; it waits now until that connection has ended here.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -47,19 +47,19 @@
 
 /// The program, with clients at a listener that it inherits, if there is one.
 fn spawn_at(door: Option<&Socket>, config: &Value, state: &Path) -> Child {
+    command(door, config, state).spawn().expect("the program starts")
+}
+
+fn command(door: Option<&Socket>, config: &Value, state: &Path) -> Command {
     let path = state.with_extension("json");
     std::fs::write(&path, config.to_string()).expect("a configuration file");
     let mut program = Command::new(env!("CARGO_BIN_EXE_rudderspindle"));
     if let Some(door) = door {
         program.env("RELAY_ACCEPT_FD", door.as_raw_fd().to_string());
     }
+    program.env("RELAY_CONFIG", path).env("RELAY_STATE", state);
+    program.stderr(Stdio::piped()).kill_on_drop(true);
     program
-        .env("RELAY_CONFIG", path)
-        .env("RELAY_STATE", state)
-        .stderr(Stdio::piped())
-        .kill_on_drop(true)
-        .spawn()
-        .expect("the program starts")
 }
 
 impl Program {
@@ -72,6 +72,12 @@
         Self::begin(spawn_at(Some(door), config, state)).await
     }
 
+    /// One that stops for good at a named point, and says in its log that it has reached it.
+    pub async fn start_until(point: &str, config: &Value, state: &Path) -> Self {
+        let mut program = command(None, config, state);
+        Self::begin(program.env("RELAY_FAILPOINT", point).spawn().expect("the program starts")).await
+    }
+
     async fn begin(mut child: Child) -> Self {
         let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
         let mut operators = None;
--- /dev/null
+++ b/crates/daemon/tests/handover.rs
@@ -0,0 +1,247 @@
+//! Two processes of one sender, cut off at each message of their handover.
+
+mod common;
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use common::*;
+use rudderspindle_journal::{Message, Ran, Status, Store, wall_ms};
+use serde_json::Value;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+
+const LONG: f64 = 60_000.0;
+/// The wait that an owner tells in these tests, and one that it was told.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// Calls that come so soon after a wait was told are let through, as the protocol has it.
+const CROSSED: Duration = Duration::from_millis(100);
+
+fn text() -> Bytes {
+    Bytes::from_static(b"text")
+}
+
+fn undeliverable(txn: &str) -> (String, String) {
+    (txn.to_owned(), "undeliverable".to_owned())
+}
+
+fn message(class: &str, txn: &str) -> Message {
+    Message {
+        txn: txn.into(),
+        class: class.into(),
+        tenant: "acme".into(),
+        destination: 7,
+        key: None,
+        deadline: wall_ms() + 50_000,
+        body: text(),
+        attempts: 0,
+        may_have_run: None,
+        out: None,
+    }
+}
+
+/// A platform, receivers `r1` and `r2` of which `r1` alone is listed, a folder, and a configuration.
+async fn site(acts: &[Act]) -> (Platform, [Receiver; 2], Folder, Value) {
+    let platform = Platform::start().await;
+    let receivers = [Receiver::start(acts).await, Receiver::start(&[]).await];
+    let config = config(platform.addr, &[member("r1", receivers[0].addr, 7, "SERVING")], LONG);
+    *platform.list.lock().expect("a list") = Some(config["known"].clone());
+    (platform, receivers, lasting(), config)
+}
+
+/// So many notices, in the order of their ids.
+async fn notices(platform: &mut Platform, most: usize) -> Vec<(String, String)> {
+    let mut all = Vec::new();
+    while all.len() < most {
+        all.extend(platform.report().await.0);
+    }
+    all.sort();
+    all
+}
+
+fn socket(state: &Path) -> std::path::PathBuf {
+    state.join("handover")
+}
+
+/// What an owner says to a successor, line by line.
+fn lines() -> Vec<String> {
+    let wait = WAIT.as_millis();
+    vec![
+        r#"{"trouble":{"destination":9,"receiver":"","trouble":{"down":{"wait":100}}}}"#.to_owned(),
+        format!(r#"{{"wait":{{"destination":7,"receiver":null,"ms":{wait}.0}}}}"#),
+        r#"{"out":1}"#.to_owned(),
+        r#""room""#.to_owned(),
+    ]
+}
+
+/// The owner is scripted: it says so many lines and half of the next one, and is gone, with its lock.
+#[tokio::test]
+async fn an_owner_that_dies_at_any_message_leaves_all_that_it_owed_to_its_successor_once() {
+    for said in 0..=lines().len() {
+        let (mut platform, [mut receiver, _], folder, config) = site(&[]).await;
+        let mut owner = Store::open(&folder.1, 3_000_000).expect("a journal");
+        for (class, txn) in [("safe", "untried"), ("once", "tried"), ("safe", "ended"), ("safe", "over")] {
+            owner.take(message(class, txn));
+        }
+        owner.attempt(&"tried".into(), Ran { at: wall_ms(), receiver: "r1".into(), zone: "a".into() });
+        owner.commit().expect("written");
+        owner.end(&"ended".into(), Some(Status::Undeliverable));
+        owner.end(&"over".into(), None);
+        owner.commit().expect("written");
+        let listener = UnixListener::bind(socket(&folder.1)).expect("a socket");
+        let starting = tokio::spawn({
+            let (config, state) = (config.clone(), folder.1.clone());
+            async move { Program::start(&config, &state).await }
+        });
+        let (stream, _) = soon("a successor", listener.accept()).await.expect("a connection");
+        let mut stream = BufReader::new(stream);
+        let mut hello = String::new();
+        soon("a line", stream.read_line(&mut hello)).await.expect("readable");
+        assert_eq!(hello, "{\"hello\":1}\n");
+        let mut words: String = lines()[..said].iter().map(|line| format!("{line}\n")).collect();
+        words.extend(lines().get(said).map(|line| line[..line.len() / 2].to_owned()));
+        stream.write_all(words.as_bytes()).await.expect("writable");
+        let told = Instant::now();
+        drop((stream, listener, owner));
+        let mut program = starting.await.expect("it starts");
+        program.says("taken over: 2 messages, 1 notices").await;
+        let call = receiver.call().await;
+        assert_eq!(call.txn, "untried", "{said} lines");
+        let after = call.at.duration_since(told);
+        let heard = said >= 2;
+        assert!(!heard || after > WAIT - Duration::from_millis(50), "{said} lines, called after {after:?}");
+        let expected = [undeliverable("ended"), undeliverable("tried")];
+        assert_eq!(notices(&mut platform, 2).await, expected, "{said} lines");
+        assert!(receiver.nothing_called() && platform.nothing_reported(), "{said} lines");
+    }
+}
+
+/// Whoever can reach the socket may say anything or nothing, and stay.
+#[tokio::test]
+async fn connections_that_say_nothing_or_nonsense_keep_no_successor_from_being_told() {
+    let (_platform, [mut receiver, _], folder, config) = site(&[]).await;
+    let mut old = Program::start(&config, &folder.1).await;
+    let mut rogues = Vec::new();
+    let long = vec![b'x'; 5_000];
+    for said in
+        [&b""[..], b"{\"hello\":", b"nonsense\n", b"{\"hello\":2}\n", b"\"room\"\n", b"\n", &long, b""]
+    {
+        let mut rogue = UnixStream::connect(socket(&folder.1)).await.expect("a connection");
+        // It may be turned away while it is still talking.
+        let _ = rogue.write_all(said).await;
+        rogues.push(rogue);
+    }
+    let new = Program::start(&config, &folder.1).await;
+    old.says("a successor has come").await;
+    receiver.then(&[Act::Say(429, Some(("x-backoff-ms", "1500")))]);
+    assert_eq!(old.hand_in("safe", "m1", text()).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m1");
+    let told = Instant::now();
+    // What crosses the word is let through: only what comes later shows whether the new one has heard it.
+    tokio::time::sleep(CROSSED).await;
+    assert_eq!(new.hand_in("safe", "m2", text()).await.status(), 202);
+    for _ in 0..2 {
+        let call = receiver.call().await;
+        let after = call.at.duration_since(told);
+        assert!(after > WAIT - Duration::from_millis(50), "{} came after {after:?}", call.txn);
+    }
+}
+
+/// A successor that is gone at once, or whose connection breaks, leaves the owner the whole folder.
+#[tokio::test]
+async fn a_successor_that_dies_before_it_has_heard_all_leaves_room_for_the_next_one() {
+    let (_platform, [mut receiver, _], folder, config) = site(&[Act::Hang]).await;
+    let mut old = Program::start(&config, &folder.1).await;
+    assert_eq!(old.hand_in("safe", "m1", text()).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m1");
+    let mut before = None;
+    for _ in 0..3 {
+        let mut next = UnixStream::connect(socket(&folder.1)).await.expect("a connection");
+        next.write_all(b"{\"hello\":1}\n").await.expect("writable");
+        // The one before ends only when the next one has spoken, as its end may be seen late.
+        drop(before.replace(next));
+        old.says("a successor has come").await;
+    }
+    drop(before);
+    let mut new = Program::start(&config, &folder.1).await;
+    old.says("a successor has come").await;
+    old.kill().await;
+    new.says("taken over: 1 messages").await;
+    assert_eq!(receiver.call().await.txn, "m1");
+    assert!(receiver.nothing_called());
+}
+
+#[tokio::test]
+async fn when_both_processes_die_a_third_one_owes_what_either_did_once() {
+    let (mut platform, [mut receiver, _], folder, config) = site(&[Act::Hang; 4]).await;
+    // Nobody acknowledges notices until the third one is there.
+    platform.answer_reports(&[500; 1_000]);
+    let mut old = Program::start(&config, &folder.1).await;
+    let mut expected = Vec::new();
+    for (class, txn) in [("safe", "old-safe"), ("once", "old-once")] {
+        assert_eq!(old.hand_in(class, txn, text()).await.status(), 202);
+        assert_eq!(receiver.call().await.txn, txn);
+    }
+    let new = Program::start(&config, &folder.1).await;
+    old.says("a successor has come").await;
+    for (class, txn) in [("safe", "new-safe"), ("once", "new-once")] {
+        assert_eq!(new.hand_in(class, txn, text()).await.status(), 202);
+        assert_eq!(receiver.call().await.txn, txn);
+        expected.push(txn);
+    }
+    // In either order; the second one may have taken over what the first one held by then, or not.
+    new.kill().await;
+    old.kill().await;
+    let third = Program::start(&config, &folder.1).await;
+    let mut again = [receiver.call().await.txn, receiver.call().await.txn];
+    again.sort();
+    assert_eq!(again, ["new-safe", "old-safe"]);
+    let mut seen = std::collections::BTreeSet::new();
+    while seen.len() < 2 {
+        let (notices, status) = platform.report().await;
+        assert_eq!(status, 500);
+        seen.extend(notices);
+    }
+    assert_eq!(seen.into_iter().collect::<Vec<_>>(), [undeliverable("new-once"), undeliverable("old-once")]);
+    assert_eq!(third.hand_in("safe", "m5", text()).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m5");
+    assert!(receiver.nothing_called());
+}
+
+/// Each of the two has its own watch; what is taken over goes by the list as it is by then.
+#[tokio::test]
+async fn a_list_that_changes_while_both_run_is_heeded_by_both() {
+    let (mut platform, [mut first, mut second], folder, config) = site(&[Act::Hang]).await;
+    let old = Program::start(&config, &folder.1).await;
+    let (_, to_old) = platform.watch().await;
+    assert_eq!(old.hand_in("safe", "m1", text()).await.status(), 202);
+    assert_eq!(first.call().await.txn, "m1");
+    let mut new = Program::start(&config, &folder.1).await;
+    let (_, to_new) = platform.watch().await;
+    let drained = member("r1", first.addr, 7, "DRAINING");
+    let change = list(8, false, &[drained, member("r2", second.addr, 7, "SERVING")]);
+    for watch in [&to_old, &to_new] {
+        watch.send(change.to_string()).expect("it watches");
+    }
+    for (name, program) in [("old", &old), ("new", &new)] {
+        // Until the change has come to it, messages go where they went.
+        for n in 0.. {
+            let txn = format!("{name}-{n}");
+            assert_eq!(program.hand_in("safe", &txn, text()).await.status(), 202);
+            let call = tokio::select! {
+                call = first.call() => (1, call.txn),
+                call = second.call() => (2, call.txn),
+            };
+            assert_eq!(call.1, txn);
+            if call.0 == 2 {
+                break;
+            }
+        }
+    }
+    old.kill().await;
+    new.says("taken over").await;
+    // The end of the last one may not have been on record yet.
+    while second.call().await.txn != "m1" {}
+    assert!(first.nothing_called());
+}
--- /dev/null
+++ b/crates/daemon/tests/kills.rs
@@ -0,0 +1,185 @@
+//! The program is killed between two steps of a message's way, and started again.
+
+mod common;
+
+use bytes::Bytes;
+use common::*;
+use serde_json::Value;
+
+const LONG: f64 = 60_000.0;
+/// Every class: may be repeated at will, by its key, not at all.
+const CLASSES: [&str; 3] = ["safe", "keyed", "once"];
+
+struct Site {
+    platform: Platform,
+    receiver: Receiver,
+    folder: Folder,
+    config: Value,
+}
+
+impl Site {
+    async fn new(acts: &[Act]) -> Self {
+        let (platform, receiver) = (Platform::start().await, Receiver::start(acts).await);
+        let config = config(platform.addr, &[member("r1", receiver.addr, 7, "SERVING")], LONG);
+        *platform.list.lock().expect("a list") = Some(config["known"].clone());
+        Self { platform, receiver, folder: lasting(), config }
+    }
+
+    /// A program that stops at the point.
+    async fn until(&self, point: &str) -> Program {
+        Program::start_until(point, &self.config, &self.folder.1).await
+    }
+
+    /// The one after it has been killed.
+    async fn start(&self) -> Program {
+        Program::start(&self.config, &self.folder.1).await
+    }
+
+    /// A further message, decided on after all that a start takes up, shows that nothing else is called or told.
+    async fn nothing_more(&mut self, program: &Program) {
+        assert_eq!(program.hand_in("safe", "last", text()).await.status(), 202);
+        assert_eq!(self.receiver.call().await.txn, "last");
+        assert!(self.receiver.nothing_called() && self.platform.nothing_reported());
+    }
+}
+
+fn text() -> Bytes {
+    Bytes::from_static(b"text")
+}
+
+fn undeliverable(txn: &str) -> Vec<(String, String)> {
+    vec![(txn.to_owned(), "undeliverable".to_owned())]
+}
+
+fn raw(class: &str) -> Vec<u8> {
+    let text = String::from_utf8(raw_hand_in("m1", "Content-Length: 4", "text")).expect("text");
+    text.replace("POST /safe", &format!("POST /{class}"))
+        .replace("\r\n\r\n", "\r\nIdempotency-Key: k\r\n\r\n")
+        .into()
+}
+
+/// Hands a message in and kills the program when it has reached the point; its client has heard nothing.
+async fn kill_before_the_answer(program: Program, class: &str) {
+    let mut program = program;
+    let mut client = program.raw(&raw(class)).await;
+    program.says("failpoint reached").await;
+    program.kill().await;
+    assert_eq!(status(&mut client).await, None);
+}
+
+#[tokio::test]
+async fn killed_before_the_record_a_message_was_never_taken_on_and_may_come_again() {
+    for class in CLASSES {
+        let mut site = Site::new(&[]).await;
+        kill_before_the_answer(site.until("taken-on-before-record").await, class).await;
+        let program = site.start().await;
+        site.nothing_more(&program).await;
+        let mut client = program.raw(&raw(class)).await;
+        assert_eq!(status(&mut client).await, Some(202));
+        assert_eq!(site.receiver.call().await.txn, "m1");
+    }
+}
+
+/// Its first attempt is on record with it, and may have gone out for all that the journal says.
+#[tokio::test]
+async fn killed_between_the_record_and_the_202_a_message_is_owed_its_end() {
+    for class in CLASSES {
+        let mut site = Site::new(&[]).await;
+        kill_before_the_answer(site.until("taken-on-recorded").await, class).await;
+        assert!(site.receiver.nothing_called());
+        let program = site.start().await;
+        if class == "once" {
+            assert_eq!(site.platform.report().await.0, undeliverable("m1"));
+        } else {
+            assert_eq!(site.receiver.call().await.txn, "m1");
+        }
+        site.nothing_more(&program).await;
+    }
+}
+
+/// A first attempt was turned away; the second one is on record, and not a byte of it has gone out.
+#[tokio::test]
+async fn killed_between_an_attempts_record_and_its_first_byte_it_may_have_run() {
+    for class in CLASSES {
+        let mut site = Site::new(&[Act::Say(429, Some(("x-backoff-ms", "20")))]).await;
+        let mut program = site.until("attempt-1-recorded").await;
+        assert_eq!(program.hand_in(class, "m1", text()).await.status(), 202);
+        assert_eq!(site.receiver.call().await.txn, "m1");
+        program.says("failpoint reached").await;
+        program.kill().await;
+        assert!(site.receiver.nothing_called());
+        let program = site.start().await;
+        if class == "once" {
+            assert_eq!(site.platform.report().await.0, undeliverable("m1"));
+        } else {
+            assert_eq!(site.receiver.call().await.txn, "m1");
+        }
+        site.nothing_more(&program).await;
+    }
+}
+
+#[tokio::test]
+async fn killed_between_the_answer_and_its_record_only_what_may_be_repeated_is() {
+    for class in CLASSES {
+        let mut site = Site::new(&[]).await;
+        let mut program = site.until("delivered-before-record").await;
+        assert_eq!(program.hand_in(class, "m1", text()).await.status(), 202);
+        let first = site.receiver.call().await;
+        program.says("failpoint reached").await;
+        program.kill().await;
+        let program = site.start().await;
+        if class == "once" {
+            assert_eq!(site.platform.report().await.0, undeliverable("m1"));
+        } else {
+            let again = site.receiver.call().await;
+            assert_eq!((&again.txn, &again.body), (&first.txn, &first.body));
+            assert_eq!(again.headers["idempotency-key"], first.headers["idempotency-key"]);
+        }
+        site.nothing_more(&program).await;
+    }
+}
+
+/// The platform has the notice, and the journal does not know: it is told once more, and then not again.
+#[tokio::test]
+async fn killed_between_a_notices_acknowledgement_and_its_record_it_is_told_once_more() {
+    let mut site = Site::new(&[Act::Break]).await;
+    let mut program = site.until("acknowledged-before-record").await;
+    assert_eq!(program.hand_in("once", "m1", text()).await.status(), 202);
+    assert_eq!(site.receiver.call().await.txn, "m1");
+    assert_eq!(site.platform.report().await, (undeliverable("m1"), 204));
+    program.says("failpoint reached").await;
+    program.kill().await;
+    let program = site.start().await;
+    assert_eq!(site.platform.report().await, (undeliverable("m1"), 204));
+    // Its end is on record once an operator's stop has let the engine settle it.
+    program.terminate().await;
+    let mut program = program;
+    assert!(program.exit().await.success());
+    let program = site.start().await;
+    site.nothing_more(&program).await;
+}
+
+/// Without an answer the notice is sent again, also by the process after the one that was killed over it.
+#[tokio::test]
+async fn killed_while_a_notice_has_no_answer_it_is_told_again() {
+    let mut site = Site::new(&[Act::Break]).await;
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut config = site.config.clone();
+    config["discovery"] = silent.local_addr().expect("an address").to_string().into();
+    let program = Program::start(&config, &site.folder.1).await;
+    assert_eq!(program.hand_in("once", "m1", text()).await.status(), 202);
+    assert_eq!(site.receiver.call().await.txn, "m1");
+    loop {
+        let (mut stream, _) = soon("a connection", silent.accept()).await.expect("a connection");
+        let mut seen = vec![0; 12];
+        let read = tokio::io::AsyncReadExt::read_exact(&mut stream, &mut seen);
+        // The list is asked for on connections of its own.
+        if soon("a request", read).await.is_ok() && seen.starts_with(b"POST /report") {
+            break;
+        }
+    }
+    program.kill().await;
+    let program = site.start().await;
+    assert_eq!(site.platform.report().await, (undeliverable("m1"), 204));
+    site.nothing_more(&program).await;
+}
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -40,6 +40,7 @@
         if let Some(held) = self.held.get(&id) {
             tracing::debug!(target: STORY, txn = &*held.txn, attempt, ?outcome, wait, "outcome");
             if closed {
+                failpoint!("delivered-before-record");
                 self.store.end(&held.txn, None);
                 if outcome == Outcome::Ok {
                     self.figures.ended(held.class, End::Delivered);
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -40,7 +40,10 @@
                         if list.complete { ListChange::Full(entries) } else { ListChange::Delta(entries) };
                     events.push(Event::List(change));
                 }
-                Input::Settled(txns) => txns.iter().for_each(|txn| self.store.settled(txn)),
+                Input::Settled(txns) => {
+                    failpoint!("acknowledged-before-record");
+                    txns.iter().for_each(|txn| self.store.settled(txn));
+                }
                 Input::Successor(came) => self.successor(came),
                 Input::Waits { destination, receiver, ms } => {
                     events.extend(self.heed(destination, receiver.as_deref(), ms));
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -69,6 +69,9 @@
                 Action::Refuse { .. } | Action::Fail { .. } => {}
             }
         }
+        if !taken.is_empty() {
+            failpoint!("taken-on-before-record");
+        }
         if let Err(error) = self.store.commit() {
             tracing::warn!("journal: a batch could not be written: {error}");
             for (id, answer) in taken.drain(..) {
@@ -86,6 +89,12 @@
                 self.carried.push(event);
             }
         }
+        if !taken.is_empty() {
+            failpoint!("taken-on-recorded");
+        }
+        for _call in &calls {
+            failpoint!("attempt-{}-recorded", _call.attempt);
+        }
         answers.extend(taken.into_iter().map(|(_, answer)| (answer, Answer::Accepted)));
         for (answer, word) in answers {
             // If nobody waits for it any more, the connection's end says so.
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -14,7 +14,7 @@
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use crate::event::Input;
@@ -29,6 +29,8 @@
 const QUEUE: usize = 2_048;
 /// For so long a successor waits for what its predecessor knows.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// Connections that may be on their way to say who they are.
+const MOST_GREETINGS: usize = 8;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -85,6 +87,14 @@
         }
     }
 
+    /// Waits until there is none, and the host has heard so.
+    async fn gone(&self) {
+        loop {
+            let Some(to) = self.0.borrow().clone() else { return };
+            to.closed().await;
+        }
+    }
+
     fn meet(&self, to: mpsc::Sender<Word>) {
         *self.0.borrow_mut() = Some(to);
     }
@@ -141,27 +151,35 @@
             return;
         }
     };
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let (reader, writer) = stream.into_split();
-        let mut reader = BufReader::new(reader);
-        match timeout(PATIENCE, read(&mut reader)).await {
-            Ok(Ok(Some(Word::Hello(VERSION)))) if !neighbour.is_there() => {
-                link(reader, writer, &neighbour, &host);
-                if host.send(Input::Successor(true)).await.is_err() {
-                    return;
-                }
-            }
-            Ok(Ok(Some(word))) => tracing::warn!("handover: turned away: {word:?}"),
-            _ => tracing::warn!("handover: a connection said nothing that is understood"),
+    // One that says nothing holds up no other.
+    let mut greetings = JoinSet::new();
+    while !host.is_closed() {
+        while greetings.try_join_next().is_some() {}
+        if greetings.len() >= MOST_GREETINGS {
+            greetings.join_next().await;
         }
+        match listener.accept().await {
+            Ok((stream, _)) => drop(greetings.spawn_local(greet(stream, neighbour.clone(), host.clone()))),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// A successor, if the connection says so, is told what is known. There is one at a time: one that comes while another
+/// is there has seen that one's lock free, and waits until its connection has ended here, too.
+async fn greet(stream: UnixStream, neighbour: Rc<Neighbour>, host: mpsc::Sender<Input>) {
+    let (reader, writer) = stream.into_split();
+    let mut reader = BufReader::new(reader);
+    match timeout(PATIENCE, read(&mut reader)).await {
+        Ok(Ok(Some(Word::Hello(VERSION)))) => {}
+        Ok(Ok(Some(word))) => return tracing::warn!("handover: turned away: {word:?}"),
+        _ => return tracing::warn!("handover: a connection said nothing that is understood"),
+    }
+    if timeout(PATIENCE, neighbour.gone()).await.is_err() {
+        return tracing::warn!("handover: turned away: another successor is there");
     }
+    link(reader, writer, &neighbour, &host);
+    let _ = host.send(Input::Successor(true)).await;
 }
 
 /// From here on both ways are open; the host hears when the other is gone.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -23,12 +23,22 @@
 //! # }
 //! ```
 
+/// Where a test may stop the program; nothing without the feature `failpoints`.
+macro_rules! failpoint {
+    ($($point:tt)*) => {
+        #[cfg(feature = "failpoints")]
+        crate::failpoint::reach(&format!($($point)*));
+    };
+}
+
 mod config;
 mod discovery;
 mod doings;
 mod door;
 mod engine;
 mod event;
+#[cfg(feature = "failpoints")]
+mod failpoint;
 mod figures;
 mod fleet_file;
 mod handover;
