What a restart or a takeover finds beyond what may be held waits for room, and is not given up

With tens of thousands found the giving up, which looks at all messages for each, kept the start from being ready. What was found also came in the order of a hash map, so chance decided what counted as within a tenant's share and went first among equals.

What is found goes into a backlog, sorted by worth, time left and id; the module gets as many as it has room for, the best first, and each when its time is up at the latest. Messages of a class that is no more are one line of the log for each class. decide::Sender tells its room; nothing of its decisions is changed.

Figures and troubles that the other process of a sender tells are brought within what can be: a wait of 1e300 ms shut a partner out for good in the module (calls out had a bound), and a part of a ramp could be above 1.

--- a/crates/daemon/tests/restart.rs
+++ b/crates/daemon/tests/restart.rs
@@ -55,6 +55,10 @@
     (platform, receiver, lasting(), config)
 }
 
+fn text() -> Bytes {
+    Bytes::from_static(b"text")
+}
+
 fn undeliverable(txn: &str) -> (String, String) {
     (txn.to_owned(), "undeliverable".to_owned())
 }
@@ -81,7 +85,7 @@
             expect_only(&mut receiver, &["m1"]).await;
         } else {
             assert_eq!(platform.report().await.0, [undeliverable("m1")]);
-            assert_eq!(program.hand_in("safe", "m2", Bytes::from_static(b"text")).await.status(), 202);
+            assert_eq!(program.hand_in("safe", "m2", text()).await.status(), 202);
             expect_only(&mut receiver, &["m2"]).await;
         }
     }
@@ -122,3 +126,103 @@
     let _program = Program::start(&config, &folder.1).await;
     assert_eq!(platform.report().await.0, [("m1".to_owned(), "deferred".to_owned())]);
 }
+
+// ---- What is found untried -----------------------------------------------------------------------------
+
+/// Untried messages of one class with one deadline, in no order.
+fn untried(most: usize) -> Vec<(Message, Option<u64>)> {
+    let deadline = wall_ms() + 50_000;
+    let message = |n| Message { deadline, ..left_behind("safe", &format!("m{:03}", n * 37 % most), 0) };
+    (0..most).map(|n| (message(n), None)).collect()
+}
+
+/// No chance decides, also not that of a hash map's order: equal ones go in the order of their ids.
+#[tokio::test]
+async fn what_is_found_untried_goes_out_in_one_order_whatever_the_journals_order_is() {
+    let (_platform, mut receiver, folder, mut config) = site(&[], LONG).await;
+    config["settings"]["extra"]["calls_out"] = 1.into();
+    write_journal(&folder.1, untried(40));
+    let _program = Program::start(&config, &folder.1).await;
+    for n in 0..40 {
+        assert_eq!(receiver.call().await.txn, format!("m{n:03}"));
+    }
+}
+
+/// Settings may have become smaller, and a successor takes over as much again as it holds.
+#[tokio::test]
+async fn more_than_may_be_held_is_tried_all_the_same_and_none_is_given_up_for_it() {
+    let (mut platform, mut receiver, folder, mut config) = site(&[], LONG).await;
+    config["settings"]["limits"]["most_held"] = 10.into();
+    write_journal(&folder.1, untried(60));
+    let _program = Program::start(&config, &folder.1).await;
+    let mut seen = std::collections::BTreeSet::new();
+    while seen.len() < 60 {
+        seen.insert(receiver.call().await.txn);
+    }
+    assert!(platform.nothing_reported());
+}
+
+/// What waits for room is owed its end all the while.
+#[tokio::test]
+async fn what_is_found_and_never_finds_room_ends_when_its_time_is_up() {
+    let (mut platform, _receiver, folder, mut config) = site(&[], LONG).await;
+    config["settings"]["limits"]["most_held"] = 4.into();
+    config["settings"]["lanes"][1]["credit"] = 2.0.into();
+    config["known"]["members"] = Value::Array(Vec::new());
+    *platform.list.lock().expect("a list") = Some(config["known"].clone());
+    // Those worth more have the room to themselves, and nobody is there to deliver them to.
+    let first = |n| (left_behind("keyed", &format!("k{n}"), 50_000), None);
+    let late = |n| (left_behind("safe", &format!("m{n}"), 1_500), None);
+    write_journal(&folder.1, (0..3).map(first).chain((0..9).map(late)).collect());
+    let _program = Program::start(&config, &folder.1).await;
+    let mut ended = Vec::new();
+    while ended.len() < 9 {
+        ended.extend(platform.report().await.0);
+    }
+    assert!(ended.iter().all(|(txn, status)| txn.starts_with('m') && status == "deferred"), "{ended:?}");
+}
+
+/// Both have all that they may hold.
+#[tokio::test]
+async fn a_successor_that_takes_over_as_much_as_it_holds_gives_none_of_it_up() {
+    let wait = Act::Say(429, Some(("x-backoff-ms", "3000")));
+    let (mut platform, mut receiver, folder, mut config) = site(&[wait], LONG).await;
+    config["settings"]["limits"]["most_held"] = 20.into();
+    let mut old = Program::start(&config, &folder.1).await;
+    assert_eq!(old.hand_in("safe", "old-0", text()).await.status(), 202);
+    receiver.call().await;
+    for n in 1..15 {
+        assert_eq!(old.hand_in("safe", &format!("old-{n}"), text()).await.status(), 202);
+    }
+    let mut new = Program::start(&config, &folder.1).await;
+    old.says("a successor has come").await;
+    for n in 0..15 {
+        assert_eq!(new.hand_in("safe", &format!("new-{n}"), text()).await.status(), 202);
+    }
+    old.kill().await;
+    new.says("taken over").await;
+    let mut seen = std::collections::BTreeSet::new();
+    while seen.len() < 30 {
+        seen.insert(receiver.call().await.txn);
+    }
+    assert!(platform.nothing_reported());
+}
+
+#[tokio::test]
+async fn messages_of_a_class_that_is_no_more_fail_with_one_line_of_the_log() {
+    let (mut platform, mut receiver, folder, config) = site(&[], LONG).await;
+    let gone = |n| (left_behind("gone", &format!("m{n}"), 50_000), None);
+    write_journal(&folder.1, (0..3).map(gone).collect());
+    let mut child = spawn(&config, &folder.1);
+    let mut ended = Vec::new();
+    while ended.len() < 3 {
+        ended.extend(platform.report().await.0);
+    }
+    assert_eq!(ended, [undeliverable("m0"), undeliverable("m1"), undeliverable("m2")]);
+    child.start_kill().expect("it runs");
+    let log = child.wait_with_output().await.expect("its log").stderr;
+    let log = String::from_utf8(log).expect("text");
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("gone")).collect();
+    assert_eq!(lines, ["journal: 3 messages are of class gone, which is no more: given up"]);
+    assert!(receiver.nothing_called());
+}
--- a/crates/decide/src/decide/ends.rs
+++ b/crates/decide/src/decide/ends.rs
@@ -5,7 +5,7 @@
 /// How far ahead the loss by waiting is reckoned, ms.
 const LOOKAHEAD: Millis = 2_000.0;
 /// Share of the most messages held at which the least worth is shed.
-const SHED_AT: f64 = 0.95;
+pub(super) const SHED_AT: f64 = 0.95;
 
 impl Sender {
     /// What is lost if the message waits on: the order in which messages go.
@@ -58,8 +58,7 @@
 
     /// Near the most that may be held the least worth goes, early enough for its client to come again.
     pub(super) fn shed(&mut self, actions: &mut Vec<Action>) {
-        let most = (self.settings.most_held as f64 * SHED_AT) as usize;
-        while self.messages.len() > most {
+        while self.messages.len() > self.most_unshed() {
             let worth = |m: &Held| self.settings.earns(&m.worth, self.now);
             let waiting = self.messages.iter().filter(|(_, m)| !m.over && m.out.is_none());
             let refusable = waiting.filter(|(_, m)| self.refusable(m));
--- a/crates/decide/src/decide/figures.rs
+++ b/crates/decide/src/decide/figures.rs
@@ -1,5 +1,6 @@
 //! What a host may read: what is wanted and was done, and how much is remembered. No decision.
 
+use super::ends::SHED_AT;
 use super::*;
 
 impl Sender {
@@ -26,6 +27,15 @@
         routes + self.messages.len() + self.turns.len()
     }
 
+    /// Messages that it can take in before it gives up any that it has.
+    pub fn room(&self) -> usize {
+        self.most_unshed().saturating_sub(self.messages.len())
+    }
+
+    pub(super) fn most_unshed(&self) -> usize {
+        (self.settings.most_held as f64 * SHED_AT) as usize
+    }
+
     /// Routes on the list that take no ordinary calls of ours now: they drain, are down, or told to wait.
     pub fn avoided(&self) -> usize {
         let avoided = |d: &Destination, r: usize| match d.routes[r].listing {
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use recovery::Recovered;
 use rudderspindle_decide::Sender;
 use rudderspindle_decide::interface::*;
 use rudderspindle_decide::settings::Names;
@@ -111,8 +112,9 @@
     zones: Vec<String>,
     calls: HashMap<MessageId, AbortHandle>,
     wakes: Vec<(Instant, u64)>,
-    /// Inputs and events left for the next batch.
+    /// Inputs and events left for the next batch, and what the module has no room for yet, the best last.
     deferred: Vec<Input>,
+    backlog: Vec<Recovered>,
     carried: Vec<Event>,
     doings: Kept,
 }
@@ -180,6 +182,7 @@
             calls: HashMap::new(),
             wakes: Vec::new(),
             deferred: Vec::new(),
+            backlog: Vec::new(),
             carried: Vec::new(),
             doings: Kept::new(views),
         };
@@ -225,8 +228,10 @@
     fn due(&self) -> Instant {
         let now = Instant::now();
         let next = if self.stop.is_some() { STOP_LOOK } else { IDLE };
-        let next = if self.carried.is_empty() { now + next } else { now };
-        self.wakes.iter().map(|w| w.0).fold(next, Instant::min)
+        let more = !self.backlog.is_empty() && self.sender.room() > 0;
+        let next = if self.carried.is_empty() && !more { now + next } else { now };
+        let ends = self.backlog.iter().map(|r| r.ends_at);
+        self.wakes.iter().map(|w| w.0).chain(ends).fold(next, Instant::min)
     }
 
     /// Whether the program may end: nothing that it could still do is left, or its time is up.
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -70,6 +70,7 @@
             }
         }
         events.append(&mut self.carried);
+        events.extend(self.take_up(now, fresh.len()));
         self.wakes.retain(|&(at, token)| {
             let due = at <= now;
             if due {
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -1,11 +1,25 @@
 //! What the journal holds is taken up again, and what a later process must know goes into it.
 
+use std::collections::BTreeMap;
+
 use super::*;
 
+/// A message of the journal's, on its way to the module.
+#[derive(Debug)]
+pub(super) struct Recovered {
+    class: usize,
+    pub ends_at: Instant,
+    /// The attempt that may have run, as reckoned then.
+    may_have_run: Option<(Instant, PastRun)>,
+    message: journal::Message,
+}
+
 impl Engine {
-    /// Hands the module what the journal holds, with each message's history; and the platform what it has
-    /// not acknowledged. An attempt without an outcome may have run.
-    pub(super) fn recover(&mut self, now: Instant, messages: Vec<journal::Message>, owed: Vec<Notice>) {
+    /// Takes what the journal holds into the backlog, with each message's history; the platform gets what it has not
+    /// acknowledged. An attempt without an outcome may have run.
+    pub(super) fn recover(&mut self, now: Instant, messages: Vec<journal::Message>, mut owed: Vec<Notice>) {
+        // The journal's order is chance's.
+        owed.sort_unstable_by(|a, b| a.txn.cmp(&b.txn));
         owed.into_iter().for_each(|notice| self.reports.push(notice));
         let wall = journal::wall_ms();
         let set_back = self.store.latest_attempt() > wall;
@@ -17,52 +31,82 @@
         if !messages.is_empty() {
             tracing::warn!("journal: {} messages taken up again", messages.len());
         }
-        for m in messages {
-            let class = self.names.classes.iter().position(|name| **name == *m.class);
-            let tenant = self.names.tenants.iter().position(|name| **name == *m.tenant);
-            let Some(class) = class else {
-                tracing::warn!(
-                    "journal: message {} is of class {}, which is no more: given up",
-                    m.txn,
-                    m.class
-                );
-                self.store.end(&m.txn, Some(Status::Undeliverable));
-                self.reports.push(Notice { txn: m.txn, status: Status::Undeliverable });
+        let mut unknown = BTreeMap::<Rc<str>, Vec<Txn>>::new();
+        for message in messages {
+            let Some(class) = self.names.classes.iter().position(|name| **name == *message.class) else {
+                unknown.entry(message.class).or_default().push(message.txn);
                 continue;
             };
             // Whatever the clock says, it has no longer than its class allows.
-            let left = m.deadline.saturating_sub(wall).min(self.settings.classes[class].deadline as u64);
-            tracing::debug!(target: STORY, txn = &*m.txn, attempts = m.attempts, ran = ?m.may_have_run, left,
-                "taken up again");
-            let may_have_run = m.may_have_run.map(|ran| PastRun {
-                // As long as can be, where the clock does not tell.
-                ago: wall.saturating_sub(if set_back { 0 } else { ran.at }) as Millis,
-                route: self.route(&ran.receiver, now),
-                zone: self.zone(&ran.zone),
+            let left =
+                message.deadline.saturating_sub(wall).min(self.settings.classes[class].deadline as u64);
+            let may_have_run = message.may_have_run.as_ref().map(|ran| {
+                // As long ago as can be, where the clock does not tell.
+                let ago = wall.saturating_sub(if set_back { 0 } else { ran.at }) as Millis;
+                (now, PastRun { ago, route: self.route(&ran.receiver, now), zone: self.zone(&ran.zone) })
             });
             let ends_at = now + Duration::from_millis(left);
-            let id = self.hold(Held {
-                txn: m.txn,
-                class,
-                hand_ins: vec![EARLIER_HAND_IN],
-                key: m.key,
-                body: m.body,
-                ends_at,
-                attempts: m.attempts,
-                receiver: None,
-            });
-            let message = Message {
-                id,
-                class,
-                tenant: tenant.unwrap_or(usize::MAX),
-                ordering_key: 0,
-                time_left: left as Millis,
-                work_guess: None,
-                destination: DestinationId(m.destination),
-            };
-            let past = Past { attempts: m.attempts, may_have_run };
-            self.carried.push(Event::Recovered(message, past));
+            self.backlog.push(Recovered { class, ends_at, may_have_run, message });
         }
+        for (class, mut txns) in unknown {
+            tracing::warn!(
+                "journal: {} messages are of class {class}, which is no more: given up",
+                txns.len()
+            );
+            txns.sort_unstable();
+            for txn in txns {
+                self.store.end(&txn, Some(Status::Undeliverable));
+                self.reports.push(Notice { txn, status: Status::Undeliverable });
+            }
+        }
+        let worth = |recovered: &Recovered| self.settings.classes[recovered.class].worth;
+        self.backlog.sort_unstable_by(|a, b| {
+            let by_worth = worth(a).total_cmp(&worth(b));
+            by_worth.then(b.ends_at.cmp(&a.ends_at)).then(b.message.txn.cmp(&a.message.txn))
+        });
+    }
+
+    /// The best of the backlog, as many as the module has room for beside those that are handed in with this batch, and
+    /// those whose time is up: it gives up what it cannot hold, and none of these may go untried for that.
+    pub(super) fn take_up(&mut self, now: Instant, fresh: usize) -> Vec<Event> {
+        let room = self.sender.room().saturating_sub(fresh);
+        let rest = self.backlog.len().saturating_sub(room);
+        let mut best = self.backlog.split_off(rest);
+        best.reverse();
+        best.extend(self.backlog.extract_if(.., |recovered| recovered.ends_at <= now));
+        best.into_iter().map(|recovered| self.hand_over(now, recovered)).collect()
+    }
+
+    fn hand_over(&mut self, now: Instant, recovered: Recovered) -> Event {
+        let Recovered { class, ends_at, may_have_run, message: m } = recovered;
+        let time_left = ends_at.saturating_duration_since(now).as_secs_f64() * 1_000.0;
+        tracing::debug!(target: STORY, txn = &*m.txn, attempts = m.attempts, ran = ?m.may_have_run, time_left,
+            "taken up again");
+        let may_have_run = may_have_run.map(|(then, ran)| {
+            let since = now.saturating_duration_since(then).as_secs_f64() * 1_000.0;
+            PastRun { ago: ran.ago + since, ..ran }
+        });
+        let tenant = self.names.tenants.iter().position(|name| **name == *m.tenant);
+        let id = self.hold(Held {
+            txn: m.txn,
+            class,
+            hand_ins: vec![EARLIER_HAND_IN],
+            key: m.key,
+            body: m.body,
+            ends_at,
+            attempts: m.attempts,
+            receiver: None,
+        });
+        let message = Message {
+            id,
+            class,
+            tenant: tenant.unwrap_or(usize::MAX),
+            ordering_key: 0,
+            time_left,
+            work_guess: None,
+            destination: DestinationId(m.destination),
+        };
+        Event::Recovered(message, Past { attempts: m.attempts, may_have_run })
     }
 
     /// What a later process must know of an outage goes on record with this batch.
--- a/crates/sender/src/engine/standing.rs
+++ b/crates/sender/src/engine/standing.rs
@@ -22,7 +22,7 @@
 
     pub(super) fn standing(&self) -> Standing {
         Standing {
-            open_requests: self.held.len(),
+            open_requests: self.held.len() + self.backlog.len(),
             registry_entries: self.routes.values().filter(|known| known.gone_at.is_none()).count(),
             out_of_rotation: self.sender.avoided(),
         }
--- a/crates/sender/src/engine/succession.rs
+++ b/crates/sender/src/engine/succession.rs
@@ -1,6 +1,7 @@
 //! Two processes of one sender for a while.
 
 use super::*;
+use crate::outbound::LONGEST_WAIT;
 
 impl Engine {
     /// A successor gets half of the disk, and hears what is known of outages and waits.
@@ -33,13 +34,18 @@
         self.neighbour.tell(Word::Room);
     }
 
-    /// What a predecessor tells a process that begins: as if its own journal had said so.
+    /// What a predecessor tells a process that begins: as if its own journal had said so, as far as it can be.
     pub fn hear(store: &mut Store, told: &[Word]) {
         for word in told {
             if let Word::Trouble { destination, receiver, trouble } = word {
                 let trouble = match *trouble {
-                    handover::Trouble::Down { wait } => journal::Trouble::Down { wait },
-                    handover::Trouble::Cold { ago, part } => journal::Trouble::Cold { ago, part },
+                    handover::Trouble::Down { wait } => {
+                        journal::Trouble::Down { wait: wait.min(LONGEST_WAIT as u64) }
+                    }
+                    handover::Trouble::Cold { ago, part } => {
+                        let ago = ago.max(-(LONGEST_WAIT as i64));
+                        journal::Trouble::Cold { ago, part: part.clamp(0.0, 1.0) }
+                    }
                 };
                 store.remember((*destination, receiver.as_str().into()), Some(trouble));
             }
@@ -53,7 +59,7 @@
             // One that is on no list here gets nothing anyway.
             Some(receiver) => Some(self.routes.get(receiver)?.route),
         };
-        let destination = DestinationId(destination);
+        let (destination, wait) = (DestinationId(destination), wait.clamp(0.0, LONGEST_WAIT));
         self.outbound.heed(destination, route, wait);
         Some(Event::Waits { destination, route, wait })
     }
@@ -74,3 +80,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// An engine with one receiver for destination 7, and its inputs' other end.
-fn engine(state: &std::path::Path) -> (Engine, mpsc::Sender<Input>) {
+pub(super) fn engine(state: &std::path::Path) -> (Engine, mpsc::Sender<Input>) {
     let json = serde_json::json!({
         "extra": {"calls_out": 4}, "kinds": ["k"], "limits": {"max_attempts": 4, "most_held": 50},
         "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}]});
@@ -35,7 +35,7 @@
     (Engine::new(parts, &list, None).expect("an engine"), to_engine)
 }
 
-fn submission(number: u64, txn: &str) -> (Input, oneshot::Receiver<Answer>) {
+pub(super) fn submission(number: u64, txn: &str) -> (Input, oneshot::Receiver<Answer>) {
     let (answer, answered) = oneshot::channel();
     let (txn, body) = (txn.into(), Bytes::from_static(b"text"));
     let (ends_at, destination) = (Instant::now() + Duration::from_secs(9), DestinationId(7));
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -38,7 +38,7 @@
 /// ...and the rest of its head: it is written in one go.
 const HEAD_TIME: Duration = Duration::from_millis(500);
 /// A receiver that asks for a longer wait is not believed: it would be shut out by one bad figure.
-const LONGEST_WAIT: Millis = 60_000.0;
+pub const LONGEST_WAIT: Millis = 60_000.0;
 const SWEEP: Duration = Duration::from_millis(500);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
