--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -23,6 +23,14 @@
 //! # }
 //! ```
 
+/// Where a test may stop the program; nothing without the feature `failpoints`.
+macro_rules! failpoint {
+    ($($point:tt)*) => {
+        #[cfg(feature = "failpoints")]
+        crate::failpoint::reach(&format!($($point)*));
+    };
+}
+
 mod accept;
 mod config;
 mod discovery;
@@ -30,6 +38,8 @@
 mod door;
 mod engine;
 mod event;
+#[cfg(feature = "failpoints")]
+mod failpoint;
 mod figures;
 mod fleet_file;
 mod handover;
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -30,7 +30,7 @@
 use crate::handover::{Neighbour, Word};
 use crate::meter::{MAX_BUFFER, Meter, Metered};
 use backoff::Waits;
-use outcome::LONGEST_WAIT;
+pub use outcome::LONGEST_WAIT;
 use pool::{Connection, IDLE_MARGIN};
 
 pub use backoff::Route;
--- a/crates/sender/src/outbound/outcome.rs
+++ b/crates/sender/src/outbound/outcome.rs
@@ -7,7 +7,7 @@
 const X_EGRESS_FULL: HeaderName = HeaderName::from_static("x-egress-full");
 
 /// A receiver that asks for a longer wait is not believed: it would be shut out by one bad figure.
-pub(super) const LONGEST_WAIT: Millis = 60_000.0;
+pub const LONGEST_WAIT: Millis = 60_000.0;
 
 /// How far a request got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
