What is given up does not arrive later: calls are reset, repeats bounded in the kernel by their window

Seen: a call that was given up (time-out, cancel, window over, our own death) was closed in the ordinary way, and the system went on sending what it held of it: to a receiver that stops reading for a second all 8,106 bytes of a call came after its time-out, and it would run. To blame: Connection::drop, a plain close. Now a connection is set to be reset by any close as soon as it is up (SO_LINGER 0), and to be closed in the ordinary way only when nothing is under way on it.

A repeat of a keyed message whose last byte the system has taken in time counts as sent, but the system would send it again after the window. TCP_USER_TIMEOUT bounds that to what is left of the window, and is taken back when the connection is kept. Its outcome is a reset: it may have run. Errors of both options are passed over.

Found beside: where all sockets were taken and one was at rest, it was closed, but its place is free only once its task is dropped: the call that needed it lost an attempt. It waits for the place now.

--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -8,7 +8,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 use hyper::{Request, Response, StatusCode};
 use rudderspindle_decide::interface::*;
 use rudderspindle_journal::{MAX_BODY, Txn};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::task::{JoinHandle, spawn_local};
@@ -30,6 +31,7 @@
 use crate::handover::{Neighbour, Word};
 use crate::meter::{MAX_BUFFER, Meter, Metered};
 use backoff::Waits;
+use exchange::Bounds;
 use outcome::LONGEST_WAIT;
 use pool::{Connection, IDLE_MARGIN};
 
@@ -148,9 +150,10 @@
         let this = self.clone();
         spawn_local(async move {
             let until = Instant::now() + PROBE_TIMEOUT;
+            let bounds = Bounds { until, latest: until, keyed_repeat: false };
             let request =
                 |host: HeaderValue| Request::get("/-/healthy").header(HOST, host).body(Full::default());
-            let (report, rest) = this.exchange(route, (until, until), &Notify::new(), None, request).await;
+            let (report, rest) = this.exchange(route, &bounds, &Notify::new(), None, request).await;
             let _ = this.host.send(Input::Probed { route, outcome: report.outcome }).await;
             this.finish(route, rest).await;
         });
--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -13,6 +13,17 @@
 /// A connection, and the body that has not been read from it.
 pub(super) type Rest = (Connection, Option<Incoming>);
 
+/// The times of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bounds {
+    /// When to stop waiting.
+    pub(super) until: Instant,
+    /// By when its last byte must be out: later it does not go.
+    pub(super) latest: Instant,
+    /// Whether it must not arrive after that either: an earlier call may have run, and its key is forgotten then.
+    pub(super) keyed_repeat: bool,
+}
+
 impl Outbound {
     pub(super) async fn call(&self, call: &Call, cancelled: &Notify) -> (Report, Option<Rest>) {
         let request = |host: HeaderValue| {
@@ -26,15 +37,16 @@
             }
             request.body(Full::new(call.body.clone()))
         };
-        self.exchange(call.route, (call.until, call.latest), cancelled, Some(&call.txn), request).await
+        let keyed_repeat = call.key.is_some() && call.attempt > 0;
+        let bounds = Bounds { until: call.until, latest: call.latest, keyed_repeat };
+        self.exchange(call.route, &bounds, cancelled, Some(&call.txn), request).await
     }
 
-    /// One request, answered by `until` or given up, whose last byte is out by `latest` or never, and the head of
-    /// its answer; `message` is the one that a call is with, none for a probe.
+    /// One request within its bounds, and the head of its answer; `message` is the one that a call is with, none for a probe.
     pub(super) async fn exchange(
         &self,
         route: RouteId,
-        (until, latest): (Instant, Instant),
+        &Bounds { until, latest, keyed_repeat }: &Bounds,
         cancelled: &Notify,
         message: Option<&Txn>,
         request: impl Fn(HeaderValue) -> hyper::http::Result<Request<Full<Bytes>>>,
@@ -73,6 +85,9 @@
             if message.is_some() {
                 meter.count_in(self.figures.clone());
             }
+            if keyed_repeat {
+                connection.limit_unacknowledged(Some(latest.saturating_duration_since(Instant::now())));
+            }
             let answer = tokio::select! {
                 biased;
                 answer = connection.sender.send_request(request) => answer.map_err(|_| End::Broken),
--- a/crates/sender/src/outbound/pool.rs
+++ b/crates/sender/src/outbound/pool.rs
@@ -13,19 +13,23 @@
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&route)?;
-        while let Some(connection) = kept.pop() {
+        while let Some(mut connection) = kept.pop() {
             if connection.usable(now, self.idle_time) {
+                connection.at_rest = false;
                 return Some(connection);
             }
         }
         None
     }
 
+    /// Nothing is under way on this connection: it is kept, or closed.
     pub(super) fn keep(&self, route: RouteId, mut connection: Connection) {
+        connection.at_rest = true;
         // The receiver may have moved while the call was out.
         let serves = |r: &Route| r.listing == Listing::Ready && r.addr == Some(connection.addr);
         let ready = self.routes.borrow().get(&route).is_some_and(serves);
         if ready && !connection.sender.is_closed() {
+            connection.limit_unacknowledged(None);
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(route).or_default().push(connection);
         }
@@ -35,16 +39,25 @@
         let permit = match self.sockets.clone().try_acquire_owned() {
             Ok(permit) => permit,
             Err(_) => {
-                self.close_oldest();
-                self.sockets.clone().try_acquire_owned().map_err(|_| End::Withheld)?
+                // The place of the one that is closed is free once its task has been dropped.
+                if !self.close_oldest() {
+                    return Err(End::Withheld);
+                }
+                let freed = timeout_at(until, self.sockets.clone().acquire_owned()).await;
+                freed.ok().and_then(Result::ok).ok_or(End::Withheld)?
             }
         };
         let until = until.min(Instant::now() + self.connect_timeout);
         let open = async {
             let stream = TcpStream::connect(addr).await.ok()?;
             stream.set_nodelay(true).ok()?;
+            // Whatever ends a connection with a call on it, be it this process's death, what the system still
+            // holds of the call goes with it: later it would run after it was given up.
+            let _ = stream.set_zero_linger();
             let meter = Rc::new(Meter::of_answers());
-            let io = Metered::new(Rc::new(RefCell::new(stream)), meter.clone());
+            let stream = Rc::new(RefCell::new(stream));
+            let socket = Rc::downgrade(&stream);
+            let io = Metered::new(stream, meter.clone());
             let (sender, connection) =
                 http1::Builder::new().max_buf_size(MAX_BUFFER).handshake(io).await.ok()?;
             let task = spawn_local(async move {
@@ -52,39 +65,59 @@
                 // How it ended shows in the call that was out.
                 let _ = connection.await;
             });
-            Some(Connection { sender, addr, meter, task, idle_since: Instant::now() })
+            let (idle_since, at_rest) = (Instant::now(), false);
+            let limited = false;
+            Some(Connection { sender, addr, meter, socket, task, idle_since, at_rest, limited })
         };
         timeout_at(until, open).await.ok().flatten().ok_or(End::Broken)
     }
 
-    fn close_oldest(&self) {
+    /// Whether there was one.
+    fn close_oldest(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         // The longest idle of each route stands first.
         let oldest = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since);
-        if let Some(connections) = oldest {
-            connections.remove(0);
-        }
+        oldest.map(|connections| connections.remove(0)).is_some()
     }
 }
 
-/// A connection to a receiver. Closed when dropped.
+/// A connection to a receiver. Closed when dropped: reset, unless nothing is under way on it.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
     pub(super) meter: Rc<Meter>,
+    /// Its task owns it.
+    pub(super) socket: Weak<RefCell<TcpStream>>,
     task: JoinHandle<()>,
     idle_since: Instant,
+    at_rest: bool,
+    /// Whether the system's own patience with what is not acknowledged is set.
+    limited: bool,
 }
 
 impl Connection {
     pub(super) fn usable(&self, now: Instant, idle_time: Duration) -> bool {
         !self.sender.is_closed() && now - self.idle_since < idle_time
     }
+
+    /// How long the system sends again what is not acknowledged, or keeps what the receiver does not take; as
+    /// ever if `None`. Where that cannot be set, the call's own time bounds it.
+    pub(super) fn limit_unacknowledged(&mut self, limit: Option<Duration>) {
+        if let Some(socket) = self.socket.upgrade().filter(|_| self.limited || limit.is_some()) {
+            self.limited = limit.is_some();
+            // 0 would be no limit.
+            let limit = limit.map(|limit| limit.max(Duration::from_millis(1)));
+            let _ = SockRef::from(&*socket.borrow()).set_tcp_user_timeout(limit);
+        }
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if let Some(socket) = self.socket.upgrade().filter(|_| self.at_rest) {
+            let _ = SockRef::from(&*socket.borrow()).set_linger(None);
+        }
         self.task.abort();
     }
 }
--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -7,6 +7,7 @@
 use super::*;
 
 mod answers;
+mod given_up;
 mod kept;
 mod late;
 mod outcomes;
@@ -27,6 +28,10 @@
 }
 
 async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
+    set_up_with(8).await
+}
+
+async fn set_up_with(sockets: usize) -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
     let json = serde_json::json!({
         "extra": {"calls_out": 4}, "kinds": ["k"], "lanes": [{"name": "safe", "deadline": 9000.0}],
         "limits": {"max_attempts": 4, "most_held": 50, "connect_timeout": 5000.0, "idle_close": 15000.0}});
@@ -34,7 +39,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let (to_engine, inputs) = mpsc::channel(16);
     let figures = Rc::new(Figures::new(&[]));
-    let outbound = Rc::new(Outbound::new(&settings, 8, figures, Rc::default(), to_engine));
+    let outbound = Rc::new(Outbound::new(&settings, sockets, figures, Rc::default(), to_engine));
     outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
     (outbound, listener, inputs)
 }
