--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod deadline;
+mod given_up;
 mod kept;
 mod late;
 mod outcomes;
@@ -28,6 +29,10 @@
 }
 
 async fn set_up() -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
+    set_up_with(8).await
+}
+
+async fn set_up_with(sockets: usize) -> (Rc<Outbound>, TcpListener, mpsc::Receiver<Input>) {
     let json = serde_json::json!({
         "extra": {"calls_out": 4}, "kinds": ["k"],
         "lanes": [{"name": "safe", "effect": "free", "deadline": 9000.0}],
@@ -36,7 +41,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let (to_engine, inputs) = mpsc::channel(16);
     let figures = Rc::new(Figures::new(&[]));
-    let outbound = Rc::new(Outbound::new(&settings, 8, figures, Rc::default(), to_engine));
+    let outbound = Rc::new(Outbound::new(&settings, sockets, figures, Rc::default(), to_engine));
     outbound.list(ROUTE, route(listener.local_addr().expect("an address"), Listing::Ready));
     (outbound, listener, inputs)
 }
