Lists on a watch may be indented; only what is whole counts as a sign of life

Seen by tests before a discovery that is scripted byte for byte: a watch was read line by line (discovery.rs, session). A list that comes indented over several lines was unreadable from its first line on and ended the watch for the whole list, again and again. And any byte began the three seconds of silence anew (timeout(SILENCE, body.frame())): a list that trickles and never ends, or one in which empty lines come, kept a watch alive that said nothing. Excluded: moves (a new address's lower revisions, a move while a watch opens, a second one before the first is answered) and the bound of a start were right; they have tests now.

A decoder without I/O gathers lists by their brackets, each byte looked at once, and bounded as before. A list counts with its last bracket, an empty line between two lists is a heartbeat, one within a list is nothing, and a string that a line end cuts off is unreadable at once. Silence runs from the last whole list or heartbeat, or from the head of the answer.

Seen to fail before the change: an indented list, a list that is told with its last bracket, the silent watches. Seen to fail with the guard taken out: silence from any byte (trickling), no bound of silence, a move that keeps the revision, a string over a line end, empty lines within a list as heartbeats, escapes unheeded, a decoder that begins anew with each frame.

--- a/crates/sender/src/discovery.rs
+++ b/crates/sender/src/discovery.rs
@@ -8,20 +8,21 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode, header};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use self::decoder::{DecodeError, Decoder, Item, LONGEST_LIST};
 use crate::event::{Input, List};
 use crate::pace::Pace;
 use crate::platform::{Driver, HttpError, connect};
 
+mod decoder;
+
 /// An empty line comes every 2 s: a watch that says nothing for so long is dead.
 const SILENCE: Duration = Duration::from_secs(3);
 /// For so long a start waits for the list: a silent discovery must not hold it up.
 const FETCH: Duration = Duration::from_millis(250);
 /// The log's target for each request and what it brought.
 const LOG: &str = "discovery";
-/// A longer line is no list of ours.
-const LONGEST_LINE: usize = 4 << 20;
 
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -29,12 +30,10 @@
     Http(#[from] HttpError),
     #[error("the watch ended")]
     Ended,
-    #[error("a line of over {LONGEST_LINE} bytes")]
-    LongLine,
     #[error("a list that is not whole")]
     Incomplete,
-    #[error("unreadable line: {0}")]
-    Unreadable(#[from] serde_json::Error),
+    #[error(transparent)]
+    Unreadable(#[from] DecodeError),
 }
 
 /// The whole list as the agent has it, if it answers soon enough for a start to wait for it.
@@ -50,8 +49,9 @@
 
 async fn whole_list(addr: SocketAddr) -> Result<List, WatchError> {
     let (response, _connection) = get(addr, "/api/targets").await?;
-    let body = Limited::new(response.into_body(), LONGEST_LINE).collect().await;
-    let list: List = serde_json::from_slice(&body.map_err(|_| WatchError::LongLine)?.to_bytes())?;
+    let body = Limited::new(response.into_body(), LONGEST_LIST).collect().await;
+    let body = body.map_err(|_| DecodeError::TooLong)?.to_bytes();
+    let list: List = serde_json::from_slice(&body).map_err(DecodeError::from)?;
     if list.complete { Ok(list) } else { Err(WatchError::Incomplete) }
 }
 
@@ -66,21 +66,34 @@
     Ok((response, driver))
 }
 
+/// How far a watcher has come.
+#[derive(Debug)]
+struct Progress {
+    /// The revision of the last list; none, if only the whole list can say what has changed since.
+    revision: Option<u64>,
+    /// When the last request began or, on a watch, when it last said something. What changed before is known by then,
+    /// or was not to be had.
+    since: Instant,
+    /// Whether the last connection has said anything.
+    heard: bool,
+}
+
 /// Watches for good, at the address that is in force: from `revision` on, or from the whole list on.
 pub async fn watch(
     mut addr: watch::Receiver<SocketAddr>,
-    mut revision: Option<u64>,
+    revision: Option<u64>,
     mut pace: Pace,
     host: mpsc::Sender<Input>,
 ) {
     let mut pause = pace.at_start();
+    let mut progress = Progress { revision, since: Instant::now(), heard: false };
     loop {
-        let mut heard = false;
+        progress.heard = false;
         let at = *addr.borrow_and_update();
         let patience = pace.patience();
         let turn = async {
             sleep(pause).await;
-            session(at, &mut revision, patience, &mut heard, &host).await
+            session(at, patience, &mut progress, &host).await
         };
         let error = tokio::select! {
             biased;
@@ -91,7 +104,7 @@
                 // The session that has just been dropped was the old address's. Another one's revisions say
                 // nothing about what has changed since ours: only the whole list does. Many move together: each
                 // waits for its turn there, too.
-                revision = None;
+                progress.revision = None;
                 pace.heard();
                 pause = pace.at_start();
                 continue;
@@ -101,11 +114,11 @@
                 Ok(()) => return,
             },
         };
-        if matches!(error, WatchError::Unreadable(_) | WatchError::LongLine) {
+        if matches!(error, WatchError::Unreadable(_)) {
             // A change was missed: only the whole list mends that.
-            revision = None;
+            progress.revision = None;
         }
-        pause = if heard {
+        pause = if progress.heard {
             tracing::warn!("discovery: {error}; watching again");
             pace.after_end()
         } else {
@@ -118,20 +131,21 @@
 /// One connection's watch; ends well only when the host is gone.
 async fn session(
     addr: SocketAddr,
-    revision: &mut Option<u64>,
     patience: Duration,
-    heard: &mut bool,
+    progress: &mut Progress,
     host: &mpsc::Sender<Input>,
 ) -> Result<(), WatchError> {
-    let from = match *revision {
+    progress.since = Instant::now();
+    let from = match progress.revision {
         Some(revision) => revision,
         None => {
             tracing::debug!(target: LOG, %addr, "asks for the whole list");
             let list = timeout(patience, whole_list(addr)).await.map_err(|_| HttpError::Silent)??;
-            let from = *revision.insert(list.revision);
+            let from = *progress.revision.insert(list.revision);
             if host.send(Input::List(list)).await.is_err() {
                 return Ok(());
             }
+            progress.since = Instant::now();
             from
         }
     };
@@ -140,29 +154,28 @@
     // The connection lives as long as this session does.
     let (response, _connection) =
         timeout(patience, get(addr, &path)).await.map_err(|_| HttpError::Silent)??;
+    progress.since = Instant::now();
     let mut body = response.into_body();
-    let mut buffer: Vec<u8> = Vec::new();
+    let mut decoder = Decoder::default();
     loop {
-        let frame = timeout(SILENCE, body.frame()).await.map_err(|_| HttpError::Silent)?;
+        // Heard is what is whole: bytes of a list that never ends say nothing.
+        let frame =
+            timeout_at(progress.since + SILENCE, body.frame()).await.map_err(|_| HttpError::Silent)?;
         let frame = frame.ok_or(WatchError::Ended)?.map_err(HttpError::from)?;
         let Some(data) = frame.data_ref() else { continue };
-        *heard = true;
-        buffer.extend_from_slice(data);
-        while let Some(end) = buffer.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = buffer.drain(..=end).collect();
-            if line.trim_ascii().is_empty() {
-                continue;
-            }
-            let list: List = serde_json::from_slice(&line)?;
+        decoder.feed(data);
+        while let Some(item) = decoder.next()? {
+            (progress.heard, progress.since) = (true, Instant::now());
+            let Item::List(list) = item else { continue };
             let (members, complete) = (list.members.len(), list.complete);
             tracing::debug!(target: LOG, revision = list.revision, members, complete, "told");
-            *revision = Some(list.revision);
+            progress.revision = Some(list.revision);
             if host.send(Input::List(list)).await.is_err() {
                 return Ok(());
             }
         }
-        if buffer.len() > LONGEST_LINE {
-            return Err(WatchError::LongLine);
-        }
     }
 }
+
+#[cfg(test)]
+mod tests;
