Counts what a cold partner gets from all senders together against N + 2 root N + 2

The users ask that a cold partner get at most N + 2 root N + 2 calls in tip_after from all processes together, for 2 to 300 of them. The model counted the worst push over what the partner can do; it now also keeps the worst window against that figure, by what the callers knew (a probe of a sender that believes it down, slow start, failures too few to make an outage out, nothing), lets a range of senders begin anew at once, and counts what is delivered while the partner warms up.

--- a/crates/decide/tests/returns.rs
+++ b/crates/decide/tests/returns.rs
@@ -325,7 +325,7 @@
 fn nor_by_a_sender_that_begins_anew_within_a_wait_or_after_it() {
     for (what, outage) in KINDS {
         for after in [-2_000.0, 200.0, 1_500.0] {
-            let all = ratios(60, outage, |scene| scene.restart = Some((0, scene.until + after)));
+            let all = ratios(60, outage, |scene| scene.restart = Some((0..1, scene.until + after)));
             let what = format!("{what}, a sender restarted {after} ms after");
             if matches!(outage(0.0), Outage::Errors { .. }) {
                 // How much it errs is not remembered, only that it was cold: less gentle, and still not too much.
--- a/crates/model/src/partner.rs
+++ b/crates/model/src/partner.rs
@@ -13,7 +13,7 @@
 pub use draw::Draw;
 pub use play::play;
 pub use scene::{Bound, Limit, Notes, Outage, Scene};
-pub use seen::Seen;
+pub use seen::{Knows, Push, Seen};
 
 use crate::parts::{class, entry, list, settings};
 
@@ -71,6 +71,11 @@
     (COLD_FROM + (1.0 - COLD_FROM) * since / WARM_WITHIN).min(1.0)
 }
 
+/// What a partner of so many calls a second could answer while it warms up.
+pub fn while_warming(told: f64) -> f64 {
+    told * WARM_WITHIN / 1_000.0 * (COLD_FROM + 1.0) / 2.0
+}
+
 /// What a host tells a sender that begins anew, so much later.
 pub fn aged(trouble: Trouble, by: Millis) -> Trouble {
     match trouble {
--- a/crates/model/src/partner/client.rs
+++ b/crates/model/src/partner/client.rs
@@ -6,6 +6,8 @@
 use rudderspindle_decide::interface::*;
 use rudderspindle_share::{Fleet, Gate, Letter, Own, Rights, RightsError};
 
+use super::seen::Knows;
+
 pub(super) struct Client {
     pub sender: Sender,
     pub fleet: Fleet,
@@ -24,6 +26,22 @@
     /// What it had its host remember, and when.
     pub memories: BTreeMap<Option<RouteId>, (Millis, Trouble)>,
     pub starts: u64,
+    /// Whether a call of its, in any of its lives, came to nothing in the outage.
+    pub told: bool,
+}
+
+impl Client {
+    /// What it knows of the outage as it calls that route.
+    pub fn knows(&self, route: RouteId) -> Knows {
+        let believed = |of: Option<RouteId>| self.memories.get(&of).map(|m| m.1);
+        let trouble = |of| believed(of).filter(|t| *t != Trouble::None);
+        match trouble(None).or(trouble(Some(route))) {
+            Some(Trouble::Down { .. }) => Knows::Down,
+            Some(_) => Knows::Cold,
+            None if self.told => Knows::Failures,
+            None => Knows::Nothing,
+        }
+    }
 }
 
 fn gate(want: &Want) -> Gate {
--- a/crates/model/src/partner/play.rs
+++ b/crates/model/src/partner/play.rs
@@ -10,6 +10,7 @@
 use super::limit::Counter;
 use super::post::{Post, wall};
 use super::scene::Bound;
+use super::seen::Knows;
 use super::{AIM, DEADLINE, Draw, LATE_WORTH, Scene, Seen, TICK, WARM_WITHIN, WORTH};
 use super::{aged, config, handed_in, listed};
 use crate::parts::outcome;
@@ -21,6 +22,8 @@
     starts: u64,
     event: Event,
     delivers: bool,
+    /// Whether it came to nothing in the outage.
+    struck: bool,
 }
 
 /// A scene as it stands.
@@ -33,10 +36,10 @@
     due: Vec<Due>,
     counter: Counter,
     /// Calls of the fall time.
-    recent: VecDeque<Millis>,
+    recent: VecDeque<(Millis, Knows)>,
     next_id: u32,
     next_message: Millis,
-    restart: Option<(usize, Millis)>,
+    restart: Option<(std::ops::Range<usize>, Millis)>,
     added: Option<(u64, Millis)>,
     seen: Seen,
 }
@@ -54,7 +57,7 @@
         recent: VecDeque::new(),
         next_id: 0,
         next_message: 0.0,
-        restart: scene.restart,
+        restart: scene.restart.clone(),
         added: scene.added,
         seen: Seen::default(),
     };
@@ -97,6 +100,7 @@
         open: BTreeMap::new(),
         memories: BTreeMap::new(),
         starts,
+        told: false,
     }
 }
 
@@ -104,17 +108,18 @@
     /// A sender ends or begins anew, or the list grows.
     fn change(&mut self) {
         let now = self.now;
-        if let Some((who, _)) = self.restart.filter(|r| r.1 <= now) {
-            self.clients[who].up = false;
+        if let Some((ending, _)) = self.restart.as_ref().filter(|r| r.1 <= now) {
+            self.clients[ending.clone()].iter_mut().for_each(|client| client.up = false);
         }
-        if let Some((who, _)) = self.restart.take_if(|r| r.1 + self.scene.gone <= now) {
+        let back = self.restart.take_if(|r| r.1 + self.scene.gone <= now);
+        for who in back.into_iter().flat_map(|(who, _)| who) {
             let (open, memories) = (self.clients[who].open.clone(), self.clients[who].memories.clone());
             let mut client = fresh(self.scene, who, self.clients[who].starts + 1, now);
             for (&route, &(at, trouble)) in &memories {
                 let (trouble, destination) = (aged(trouble, now - at), DestinationId(0));
                 client.events.push(Event::Remembered { destination, route, trouble });
             }
-            client.memories = memories;
+            (client.memories, client.told) = (memories, self.clients[who].told);
             for (id, (class, at, attempts)) in open {
                 let left = DEADLINE - (now - at);
                 let past = Past { attempts, may_have_run: None };
@@ -153,6 +158,7 @@
         let later = self.due.partition_point(|d| d.at <= now);
         for d in self.due.drain(..later) {
             let client = &mut self.clients[d.client];
+            client.told |= d.struck;
             if client.starts != d.starts || !client.up {
                 continue;
             }
@@ -160,6 +166,8 @@
                 && let Some((class, at, _)) = client.open.remove(&id.0)
             {
                 self.seen.delivered += 1;
+                let warming = self.scene.until..self.scene.until + WARM_WITHIN;
+                self.seen.served += usize::from(warming.contains(&now));
                 self.seen.in_time += usize::from(now - at <= AIM[class]);
                 let late = ((now - at - AIM[class]) / (DEADLINE - AIM[class])).clamp(0.0, 1.0);
                 self.seen.earned[class] += WORTH[class] * (1.0 - late * (1.0 - LATE_WORTH));
@@ -203,7 +211,8 @@
                 self.seen.starts.push(now);
                 self.seen.trials += usize::from(on);
                 if now >= scene.until && now < scene.until + WARM_WITHIN {
-                    self.seen.push(&mut self.recent, now - scene.until, scene.told);
+                    let call = (now - scene.until, client.knows(route));
+                    self.seen.push(&mut self.recent, call, scene.told);
                     self.seen.came.push((now - scene.until, n, route.0));
                 }
                 let (after, what, wait) =
@@ -215,6 +224,7 @@
                     starts,
                     event,
                     delivers: what == Outcome::Ok,
+                    struck: on && what != Outcome::Ok,
                 });
             }
             Action::Remember { route, trouble, .. } => drop(client.memories.insert(route, (now, trouble))),
--- a/crates/model/src/partner/scene.rs
+++ b/crates/model/src/partner/scene.rs
@@ -101,8 +101,8 @@
     pub clocks: u64,
     /// Mean time that a call takes, ms.
     pub work: Millis,
-    /// A sender that begins anew then, and has forgotten all but its messages.
-    pub restart: Option<(usize, Millis)>,
+    /// Senders that begin anew then, and have forgotten all but their messages and what their hosts remember.
+    pub restart: Option<(std::ops::Range<usize>, Millis)>,
     /// So long after its end, ms; what would be handed to it goes to the next one meanwhile.
     pub gone: Millis,
     /// Routes that the list adds then, under new ids.
--- a/crates/model/tests/strict.rs
+++ b/crates/model/tests/strict.rs
@@ -65,7 +65,7 @@
 fn the_bound_holds_where_a_sender_is_killed_after_it_used_its_turns_and_is_back_0_6_s_later() {
     for at in [6_100.0, 6_600.0, 7_350.0, 7_900.0] {
         // All of it goes to one sender's messages, so that it has used all of what it has.
-        let scene = Scene { busy: 1, restart: Some((0, at)), gone: 600.0, ..evening(3, 0.0) };
+        let scene = Scene { busy: 1, restart: Some((0..1, at)), gone: 600.0, ..evening(3, 0.0) };
         let seen = play(&scene);
         assert_bound(&scene, &seen);
         let before = seen.starts.iter().filter(|start| (at - 1_000.0..at).contains(*start)).count();
--- a/crates/rig/src/fleet_limit.rs
+++ b/crates/rig/src/fleet_limit.rs
@@ -1,6 +1,7 @@
 //! `rig fleet-limit`: many senders before one partner in simulated time: with notes, without, and as if they were few.
 
 mod bounds;
+mod returns;
 mod sum;
 
 use clap::{Args, ValueEnum};
@@ -35,6 +36,9 @@
     /// What holds senders with notes to the limit.
     #[arg(long, value_enum, default_value_t = Held::Use)]
     bound: Held,
+    /// Instead: what a partner that returns cold gets from each of these fleets together, against what it bears.
+    #[arg(long, value_name = "SENDERS", value_delimiter = ',', value_parser = clap::value_parser!(u16).range(1..=1_000))]
+    returns: Vec<u16>,
 }
 
 /// What holds senders with notes to the limit.
@@ -98,6 +102,10 @@
     let seed = common.seed();
     let mut report = Report::new("fleet-limit", seed);
     let ends = f64::from(common.seconds.unwrap_or(SECONDS)) * 1_000.0;
+    if !fleet.returns.is_empty() {
+        returns::run(&(seed..seed.wrapping_add(common.rounds)), &fleet.returns, &mut report);
+        return report;
+    }
     let senders = usize::from(fleet.senders);
     println!("seed {seed}, {senders} senders, {} calls a second, load {}", fleet.limit, fleet.load);
     if fleet.bound != Held::Use {
