What a restart found untried is not shed for messages that come anew

A message that an earlier process took on, that no call has been made for and that has over 0.5 s left is put back into the backlog instead of ending, and goes to the module again as it has room, the best first. It ends when its time is up at the latest. Decisions on all others are as they were, and in the module nothing is changed.

Seen to fail with nothing put back.

--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -90,6 +90,14 @@
         })
     }
 
+    /// A message that is still owed its end.
+    pub fn open_message(&self, txn: &Txn) -> Option<&Message> {
+        match &self.entries.get(txn)?.state {
+            State::Open(message) => Some(message),
+            State::Owed(_) => None,
+        }
+    }
+
     /// Notices that have not been acknowledged.
     pub fn owed(&self) -> impl Iterator<Item = Notice> + '_ {
         self.entries.iter().filter_map(|(txn, e)| match e.state {
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -44,6 +44,9 @@
         let mut notices = Vec::new();
         for (id, status) in ended {
             let Some(held) = self.release(id) else { continue };
+            if self.put_back(now, &held) {
+                continue;
+            }
             tracing::debug!(target: STORY, txn = &*held.txn, ?status, "ended");
             self.store.end(&held.txn, Some(status));
             self.figures.ended(held.class, status.into());
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -4,6 +4,9 @@
 
 use super::*;
 
+/// With more of its time left an untried message is given up for want of room and for nothing else.
+const EARLY: Duration = Duration::from_millis(500);
+
 /// A message of the journal's, on its way to the module.
 #[derive(Debug)]
 pub(super) struct Recovered {
@@ -59,6 +62,11 @@
                 self.reports.push(Notice { txn, status: Status::Undeliverable });
             }
         }
+        self.sort_backlog();
+    }
+
+    /// The best last.
+    fn sort_backlog(&mut self) {
         let worth = |recovered: &Recovered| self.settings.classes[recovered.class].worth;
         self.backlog.sort_unstable_by(|a, b| {
             let by_worth = worth(a).total_cmp(&worth(b));
@@ -77,6 +85,21 @@
         best.into_iter().map(|recovered| self.hand_over(now, recovered)).collect()
     }
 
+    /// One that an earlier process took on, and that no call has been made for, is not given up for want of room: it
+    /// waits until there is some again.
+    pub(super) fn put_back(&mut self, now: Instant, held: &Held) -> bool {
+        let untried = held.attempts == 0 && held.hand_ins.contains(&EARLIER_HAND_IN);
+        if !untried || held.ends_at.saturating_duration_since(now) < EARLY {
+            return false;
+        }
+        let Some(message) = self.store.open_message(&held.txn).cloned() else { return false };
+        tracing::debug!(target: STORY, txn = &*held.txn, "put back");
+        let (class, ends_at) = (held.class, held.ends_at);
+        self.backlog.push(Recovered { class, ends_at, may_have_run: None, message });
+        self.sort_backlog();
+        true
+    }
+
     fn hand_over(&mut self, now: Instant, recovered: Recovered) -> Event {
         let Recovered { class, ends_at, may_have_run, message: m } = recovered;
         let time_left = ends_at.saturating_duration_since(now).as_secs_f64() * 1_000.0;
@@ -140,3 +163,6 @@
         self.store.memories().filter_map(event).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
