The process ends each client's connection before itself, and SIGTERM and SIGKILL are tested byte by byte

Seen: when the engine was done the process slept 20 ms and left all open connections to the kernel (service.rs, LAST_WRITES), which resets those with unread bytes; calls that were out lived on beside a successor's for that time. Excluded: a second SIGTERM and one before `listening` were right already, as were half-read requests and the backlog.

Now, once the engine is gone, what is still asked is refused with 503 for 120 ms; then every connection without unread bytes is told to go and has 40 ms for it; what is left has its writing half ended and its unread bytes discarded (Inbound::end). STOP_LAST is unchanged, so the program ends about 3.5 s after SIGTERM at the latest. The engine gives up its calls as it ends.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -114,10 +114,9 @@
         self.signal("-HUP").await;
     }
 
-    async fn signal(&self, signal: &str) {
-        let pid = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status().await.expect("kill runs");
-        assert!(sent.success());
+    /// Sends a signal, as `kill` names it.
+    pub async fn signal(&self, name: &str) {
+        signal(&self.child, name).await;
     }
 
     /// A client's connection on which bytes are written as they are.
@@ -161,6 +160,13 @@
     }
 }
 
+/// Sends a program a signal, as `kill` names it.
+pub async fn signal(program: &Child, name: &str) {
+    let pid = program.id().expect("it runs").to_string();
+    let sent = Command::new("kill").args([name, &pid]).status().await.expect("kill runs");
+    assert!(sent.success());
+}
+
 /// A listening socket that the platform keeps, for programs that it starts.
 pub fn kept_door() -> Socket {
     let door = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
--- /dev/null
+++ b/crates/daemon/tests/shutdown.rs
@@ -0,0 +1,209 @@
+//! SIGTERM and SIGKILL against what is on its way just then, byte by byte in a forced order.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const LONG: f64 = 60_000.0;
+
+fn request(txn: &str) -> Vec<u8> {
+    raw_hand_in(txn, "Content-Length: 4", "text")
+}
+
+/// Bytes that have come to the other end of a client's connection and that nobody has read, as the system has it;
+/// none if there is no such connection.
+fn unread(client: &TcpStream) -> Option<u64> {
+    let hex = |addr: SocketAddr| {
+        let SocketAddr::V4(addr) = addr else { panic!("not IPv4") };
+        format!("{:08X}:{:04X}", u32::from_ne_bytes(addr.ip().octets()), addr.port())
+    };
+    let ends = [client.peer_addr(), client.local_addr()].map(|addr| hex(addr.expect("an address")));
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("a table of connections");
+    table.lines().find_map(|line| {
+        let mut fields = line.split_whitespace().skip(1);
+        let found = fields.next()? == ends[0] && fields.next()? == ends[1];
+        let (_, queue) = fields.nth(1)?.split_once(':')?;
+        found.then(|| u64::from_str_radix(queue, 16).expect("a number"))
+    })
+}
+
+/// Waits until so many bytes lie unread at the program's end.
+async fn lie_unread(client: &TcpStream, bytes: usize) {
+    let waiting = async {
+        while unread(client) != Some(bytes as u64) {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    soon("bytes unread", waiting).await;
+}
+
+/// The answer to a client's last request, after which its connection ends without a reset.
+async fn last_answer(client: &mut TcpStream) -> (u16, String) {
+    let mut answer = String::new();
+    soon("an answer and the end", client.read_to_string(&mut answer)).await.expect("no reset");
+    let status = answer.get(9..12).and_then(|status| status.parse().ok());
+    (status.unwrap_or_else(|| panic!("it ended within {answer:?}")), answer)
+}
+
+/// The ids of the next calls, in order of the alphabet.
+async fn called(receiver: &mut Receiver, calls: usize) -> Vec<String> {
+    let mut txns = Vec::new();
+    while txns.len() < calls {
+        txns.push(receiver.call().await.txn);
+    }
+    txns.sort();
+    txns
+}
+
+#[tokio::test]
+async fn a_request_of_which_any_part_is_read_at_sigterm_is_taken_on_once_the_rest_has_come() {
+    let (mut platform, mut receiver, mut program, _folder, _) = set_up(&[], LONG).await;
+    let whole = |part: usize| request(&format!("m{part}"));
+    let head = whole(0).len() - 4;
+    // Nothing, half a head, a whole head, half a body.
+    let parts = [0, 40, head, head + 2];
+    let mut clients = Vec::new();
+    for (n, part) in parts.into_iter().enumerate() {
+        clients.push(program.raw(&whole(n)[..part]).await);
+    }
+    for client in &clients {
+        lie_unread(client, 0).await;
+    }
+    program.terminate().await;
+    program.says("stopping").await;
+    for (n, (client, part)) in clients.iter_mut().zip(parts).enumerate() {
+        client.write_all(&whole(n)[part..]).await.expect("it is open");
+        let (status, answer) = last_answer(client).await;
+        assert!(status == 202 && answer.to_lowercase().contains("connection: close"), "{n}: {answer}");
+    }
+    assert_eq!(called(&mut receiver, 4).await, ["m0", "m1", "m2", "m3"]);
+    assert_eq!(program.exit().await.code(), Some(0));
+    assert!(receiver.nothing_called() && platform.nothing_reported());
+}
+
+/// The program is held while everything comes to its sockets, so that it finds all of it and the signal at once.
+#[tokio::test]
+async fn what_lies_in_the_listen_backlog_or_on_a_resting_connection_at_sigterm_is_taken_on() {
+    let (mut platform, mut receiver, mut program, _folder, _) = set_up(&[], LONG).await;
+    let mut resting = program.raw(&request("first")).await;
+    assert_eq!(status(&mut resting).await, Some(202));
+    rest_of_answer(&mut resting).await;
+    assert_eq!(receiver.call().await.txn, "first");
+    program.signal("-STOP").await;
+    let mut clients = vec![resting];
+    for _ in 0..10 {
+        clients.push(TcpStream::connect(program.addr).await.expect("the system accepts it"));
+    }
+    for (n, client) in clients.iter_mut().enumerate() {
+        let bytes = request(&format!("m{n:02}"));
+        client.write_all(&bytes).await.expect("writable");
+        lie_unread(client, bytes.len()).await;
+    }
+    program.terminate().await;
+    program.signal("-CONT").await;
+    for client in &mut clients {
+        assert_eq!(last_answer(client).await.0, 202);
+    }
+    let all: Vec<String> = (0..11).map(|n| format!("m{n:02}")).collect();
+    assert_eq!(called(&mut receiver, 11).await, all);
+    assert_eq!(program.exit().await.code(), Some(0));
+    assert!(receiver.nothing_called() && platform.nothing_reported());
+}
+
+#[tokio::test]
+async fn a_second_sigterm_changes_nothing() {
+    let (_platform, mut receiver, mut program, _folder, _) = set_up(&[Act::Hang], LONG).await;
+    assert_eq!(program.hand_in("safe", "m1", Bytes::from_static(b"text")).await.status(), 202);
+    receiver.call().await;
+    program.terminate().await;
+    program.says("stopping").await;
+    program.terminate().await;
+    assert_eq!(program.hand_in("safe", "m2", Bytes::from_static(b"text")).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m2");
+    program.terminate().await;
+    assert_eq!(program.exit().await.code(), Some(0));
+}
+
+/// It is told to end while it waits for a list that does not come.
+#[tokio::test]
+async fn sigterm_before_the_program_is_ready_ends_it_well_and_loses_nothing() {
+    let (_platform, mut receiver, program, folder, mut config) = set_up(&[Act::Hang], LONG).await;
+    assert_eq!(program.hand_in("safe", "m1", Bytes::from_static(b"text")).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "m1");
+    program.kill().await;
+    let discovery = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let good = config["discovery"].clone();
+    config["discovery"] = discovery.local_addr().expect("an address").to_string().into();
+    // Nothing can be delivered meanwhile.
+    let known = std::mem::replace(&mut config["known"], list(7, true, &[]));
+    let mut child = spawn(&config, &folder.1);
+    let asked = soon("a request for the list", discovery.accept()).await.expect("a connection");
+    signal(&child, "-TERM").await;
+    let status = soon("the end", child.wait()).await.expect("a status");
+    assert_eq!(status.code(), Some(0));
+    drop(asked);
+    (config["discovery"], config["known"]) = (good, known);
+    let _program = Program::start(&config, &folder.1).await;
+    assert_eq!(receiver.call().await.txn, "m1");
+}
+
+/// The program is held and then killed while it stops: with a call out, with a request that it has not read, and with
+/// half of one that it has.
+#[tokio::test]
+async fn of_what_a_sigkill_after_sigterm_meets_only_what_was_answered_is_sent() {
+    let (mut platform, mut receiver, mut program, folder, config) = set_up(&[Act::Hang], LONG).await;
+    let mut half = program.raw(&request("half")[..60]).await;
+    lie_unread(&half, 0).await;
+    program.terminate().await;
+    program.says("stopping").await;
+    let answer = program.hand_in("safe", "answered", Bytes::from_static(b"text")).await;
+    assert_eq!(answer.status(), 202);
+    assert_eq!(receiver.call().await.txn, "answered");
+    program.signal("-STOP").await;
+    let bytes = request("unread");
+    let mut unread = program.raw(&bytes).await;
+    lie_unread(&unread, bytes.len()).await;
+    program.kill().await;
+    for client in [&mut half, &mut unread] {
+        assert_eq!(status(client).await, None);
+    }
+    let program = Program::start(&config, &folder.1).await;
+    assert_eq!(receiver.call().await.txn, "answered");
+    // Behind it in the journal there is nothing else.
+    assert_eq!(program.hand_in("safe", "last", Bytes::from_static(b"text")).await.status(), 202);
+    assert_eq!(receiver.call().await.txn, "last");
+    assert!(receiver.nothing_called() && platform.nothing_reported());
+}
+
+/// Many hand in while the signal comes: whatever the journal is writing just then, each hears what holds.
+#[tokio::test]
+async fn each_of_many_that_hand_in_at_sigterm_is_answered_and_what_is_taken_on_is_delivered() {
+    let (mut platform, mut receiver, mut program, folder, config) = set_up(&[], LONG).await;
+    let mut clients = Vec::new();
+    for n in 0..30 {
+        let bytes = request(&format!("m{n:02}"));
+        let mut client = program.raw(&bytes[..bytes.len() - 1]).await;
+        clients.push(tokio::spawn(async move {
+            client.write_all(b"t").await.expect("it is open");
+            last_answer(&mut client).await.0
+        }));
+        if n == 15 {
+            program.terminate().await;
+        }
+    }
+    let mut taken = Vec::new();
+    for (n, client) in clients.into_iter().enumerate() {
+        assert_eq!(client.await.expect("an answer"), 202, "m{n:02}");
+        taken.push(format!("m{n:02}"));
+    }
+    assert_eq!(program.exit().await.code(), Some(0));
+    let _program = Program::start(&config, &folder.1).await;
+    assert_eq!(called(&mut receiver, taken.len()).await, taken);
+    assert!(receiver.nothing_called() && platform.nothing_reported());
+}
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -217,6 +217,8 @@
             }
             self.batch(inputs);
             if self.stopped() {
+                // Another process may have the journal from now on, and call again.
+                self.calls.values().for_each(AbortHandle::abort);
                 return;
             }
         }
--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -16,7 +16,7 @@
 use rudderspindle_decide::settings::Names;
 use rudderspindle_journal::MAX_BODY;
 use tokio::net::TcpListener;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -31,6 +31,12 @@
 
 /// How often the connections are looked over.
 const LOOK: Duration = Duration::from_millis(200);
+/// A connection that the listener has is taken in within this time.
+const LAST_LOOK: Duration = Duration::from_millis(20);
+/// Once the engine is gone a request is refused for so long: one that has begun to come can still come whole.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// Then all are told to go, and have so long to do so.
+const LAST_BYTES: Duration = Duration::from_millis(40);
 /// Pause after a connection had no place.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -60,6 +66,8 @@
     bodies: Arc<Semaphore>,
     figures: Rc<Figures>,
     door: watch::Receiver<Door>,
+    /// Whenever a connection has ended.
+    ended: Notify,
 }
 
 impl Inbound {
@@ -83,6 +91,7 @@
             bodies: Arc::new(Semaphore::new(limits.body_bytes.max(MAX_BODY))),
             figures,
             door,
+            ended: Notify::new(),
         }
     }
 
@@ -109,6 +118,7 @@
                 this.places.borrow_mut().left(number);
                 this.figures.client(false);
                 drop((client, permit));
+                this.ended.notify_one();
             });
         }
     }
@@ -138,6 +148,28 @@
         }
     }
 
+    /// Ends every connection before the process does, in less than 200 ms. The engine is gone: what is still asked is
+    /// refused.
+    pub async fn end(&self) {
+        // One may be on its way from the listener.
+        sleep(LAST_LOOK).await;
+        let _ = timeout(LAST_ANSWERS, self.all_ended()).await;
+        self.clients.borrow().values().filter(|c| !c.has_unread()).for_each(|c| c.close());
+        let _ = timeout(LAST_BYTES, self.all_ended()).await;
+        self.abandon();
+    }
+
+    /// For those that still do not go.
+    fn abandon(&self) {
+        self.clients.borrow().values().for_each(|c| linger::abandon(&c.socket));
+    }
+
+    async fn all_ended(&self) {
+        while !self.clients.borrow().is_empty() {
+            self.ended.notified().await;
+        }
+    }
+
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
--- a/crates/sender/src/linger.rs
+++ b/crates/sender/src/linger.rs
@@ -55,6 +55,13 @@
     }
 }
 
+/// Ends the writing half and discards what has come, at once: for when nothing can be waited for any more.
+pub(crate) fn abandon(socket: &Socket) {
+    let _ = SockRef::from(&*socket.borrow()).shutdown(Shutdown::Write);
+    let mut room = MOST_DISCARDED;
+    discard(socket, &mut room);
+}
+
 /// Discards what has come, as the system has it and not only as the runtime knows; whether the peer has ended.
 fn discard(socket: &Socket, room: &mut usize) -> bool {
     let mut bytes = [MaybeUninit::uninit(); READ_AT_ONCE];
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -30,12 +30,11 @@
 const QUEUE: usize = 4096;
 /// How often a successor looks whether the process that owns the journal has ended.
 const SUCCEED: Duration = Duration::from_millis(20);
-/// What was answered last still has to reach the sockets when the engine is done.
-const LAST_WRITES: Duration = Duration::from_millis(20);
 
 /// A sender that listens, and runs once [`Service::run`] is polled.
 pub struct Service {
     engine: Engine,
+    inbound: Rc<Inbound>,
     control: Control,
     addr: SocketAddr,
 }
@@ -153,7 +152,7 @@
         let limits = inbound::Limits { sockets: share, body_bytes: config.limits.body_bytes() };
         let inbound =
             Rc::new(Inbound::new(settings, names, limits, figures.clone(), to_engine.clone(), at_the_door));
-        spawn_local(inbound.run(listener));
+        spawn_local(inbound.clone().run(listener));
         if let Some(listener) = control {
             if let Ok(addr) = listener.local_addr() {
                 tracing::info!("operators: listening on {addr}");
@@ -162,7 +161,7 @@
             spawn_local(Rc::new(operator).run(listener));
         }
         let control = Control { to_engine, door, discovery, neighbour, shared_door };
-        Ok(Self { engine, control, addr })
+        Ok(Self { engine, inbound, control, addr })
     }
 
     /// Where clients connect.
@@ -180,7 +179,7 @@
         // Clients' connections and the watches look at it until the end.
         let _control = self.control;
         self.engine.run().await;
-        tokio::time::sleep(LAST_WRITES).await;
+        self.inbound.end().await;
     }
 }
 
--- a/crates/sender/tests/service.rs
+++ b/crates/sender/tests/service.rs
@@ -43,6 +43,33 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Clients that say nothing, or half of something, keep it for its longest time; then it ends them before itself.
+#[tokio::test]
+async fn when_it_has_run_each_client_has_its_end() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let test = async {
+        let usable = Usable::read(&configuration(folder.path(), settings())).expect("usable");
+        let service = Service::start(usable, folder.path(), None).await.expect("it starts");
+        let (addr, control) = (service.local_addr(), service.control());
+        let running = spawn_local(service.run());
+        let mut first = TcpStream::connect(addr).await.expect("a connection");
+        control.stop().await;
+        // The first one's own time is up before that of the service is; those that follow it stay to the end.
+        assert_eq!(first.read(&mut [0; 1]).await.expect("no reset"), 0);
+        assert!(!running.is_finished());
+        let mut silent = TcpStream::connect(addr).await.expect("a connection");
+        let mut half = TcpStream::connect(addr).await.expect("a connection");
+        half.write_all(b"POST /c HTTP/1.1\r\nContent-Len").await.expect("writable");
+        timeout(Duration::from_secs(10), running).await.expect("in time").expect("without a panic");
+        for client in [&mut silent, &mut half] {
+            // It has come by now; without it, these connections would last for another second.
+            let end = timeout(Duration::from_millis(500), client.read(&mut [0; 1])).await;
+            assert_eq!(end.expect("an end").expect("no reset"), 0);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
+
 #[test]
 fn a_configuration_that_cannot_work_says_what_is_wrong() {
     let folder = tempfile::tempdir().expect("a folder");
