--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -100,6 +100,15 @@
         assert!(soon(text, found).await, "the log ended without {text:?}");
     }
 
+    /// What the log still says until the program ends.
+    pub async fn rest_of_log(&mut self) -> Vec<String> {
+        let mut lines = Vec::new();
+        while let Some(line) = soon("the log's end", self.log.next_line()).await.expect("a log") {
+            lines.push(line);
+        }
+        lines
+    }
+
     pub async fn kill(mut self) {
         self.child.kill().await.expect("it can be killed");
     }
