--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -106,6 +106,15 @@
         assert!(soon(text, found).await, "the log ended without {text:?}");
     }
 
+    /// What the log still says until the program ends.
+    pub async fn rest_of_log(&mut self) -> Vec<String> {
+        let mut lines = Vec::new();
+        while let Some(line) = soon("the log's end", self.log.next_line()).await.expect("a log") {
+            lines.push(line);
+        }
+        lines
+    }
+
     pub async fn kill(mut self) {
         self.child.kill().await.expect("it can be killed");
     }
@@ -120,10 +129,9 @@
         self.signal("-HUP").await;
     }
 
-    async fn signal(&self, signal: &str) {
-        let pid = self.child.id().expect("it runs").to_string();
-        let sent = Command::new("kill").args([signal, &pid]).status().await.expect("kill runs");
-        assert!(sent.success());
+    /// Sends a signal, as `kill` names it.
+    pub async fn signal(&self, name: &str) {
+        signal(&self.child, name).await;
     }
 
     /// A client's connection on which bytes are written as they are.
@@ -167,6 +175,13 @@
     }
 }
 
+/// Sends a program a signal, as `kill` names it.
+pub async fn signal(program: &Child, name: &str) {
+    let pid = program.id().expect("it runs").to_string();
+    let sent = Command::new("kill").args([name, &pid]).status().await.expect("kill runs");
+    assert!(sent.success());
+}
+
 /// A listening socket that the platform keeps, for programs that it starts.
 pub fn kept_door() -> Socket {
     let door = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
