A notice is made again every 200 ms, however long the platform has not answered

Seen: with eight requests without an answer the ninth came 2.5 s after the eighth (reports.rs: patience doubles to 2 s, and a quarter of it is slept), where a notice is lost 300 ms after its message's time. Nor did a 204 count that came after the patience was over: such a notice was owed still.

Change: the next request begins after 100 ms, then every 200 ms, on another connection; those before it stay out for 2 s, so that an acknowledgement that comes late counts. Notices have numbers of their own, as a 204 settles what its request had and nothing that was pushed since under the same id.

The first two tests were seen to fail with the code before, the first also with the longest gap at 2 s. The third, on lost acknowledgements, passes with the code before: that was no fault.

--- a/crates/sender/src/reports.rs
+++ b/crates/sender/src/reports.rs
@@ -1,6 +1,6 @@
 //! Notices to the platform: how messages ended that were taken on and not delivered.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,27 +11,35 @@
 use hyper::{Request, StatusCode, header};
 use rudderspindle_journal::{Notice, Status};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::event::Input;
 use crate::platform::{Driver, HttpError, connect};
 
-/// An answer comes at once: a request without one for so long is made again, with more patience.
-const FIRST_PATIENCE: Duration = Duration::from_millis(100);
-const LONGEST_PATIENCE: Duration = Duration::from_secs(2);
+/// An answer comes at once. Without one the request is made again on another connection, at first after this and
+/// then after twice as long: what the platform hears again does no harm, and what it hears late is lost.
+const FIRST_GAP: Duration = Duration::from_millis(100);
+const LONGEST_GAP: Duration = Duration::from_millis(200);
+/// An answer that comes late, from a platform with much to do, is waited for beside newer requests.
+const PATIENCE: Duration = Duration::from_secs(2);
 /// Notices in one request.
 const MOST: usize = 200;
 
 /// Notices not yet acknowledged. No longer than the journal has room for.
 #[derive(Debug, Default)]
 pub struct Reports {
-    queue: RefCell<VecDeque<Notice>>,
+    /// Each with a number of its own: an id may come back.
+    queue: RefCell<VecDeque<(u64, Notice)>>,
+    pushed: Cell<u64>,
     more: Notify,
 }
 
 impl Reports {
     pub fn push(&self, notice: Notice) {
-        self.queue.borrow_mut().push_back(notice);
+        let number = self.pushed.get();
+        self.pushed.set(number + 1);
+        self.queue.borrow_mut().push_back((number, notice));
         self.more.notify_one();
     }
 
@@ -43,15 +51,13 @@
     /// Sends what is queued, again and again until it is acknowledged with 204; always to the address that is
     /// in force.
     pub async fn run(&self, mut addr: watch::Receiver<SocketAddr>, host: mpsc::Sender<Input>) {
-        let mut connection = None;
-        let (mut patience, mut most) = (FIRST_PATIENCE, MOST);
+        let mut requests = Requests::default();
         loop {
             if addr.has_changed().unwrap_or(false) {
                 // What the old address has not acknowledged goes to the new one.
-                (connection, patience, most) = (None, FIRST_PATIENCE, MOST);
+                requests = Requests::default();
             }
             let at = *addr.borrow_and_update();
-            let batch: Vec<Notice> = self.queue.borrow().iter().take(most).cloned().collect();
             let moved = async {
                 // If nobody can move it any more, the program is about to end.
                 if addr.changed().await.is_err() {
@@ -59,7 +65,7 @@
                 }
                 addr.mark_changed();
             };
-            if batch.is_empty() {
+            if self.is_idle() {
                 // Also while idle: the kept connection is the old address's.
                 tokio::select! {
                     () = self.more.notified() => {}
@@ -67,48 +73,89 @@
                 }
                 continue;
             }
-            let sent = tokio::select! {
+            let ended = tokio::select! {
                 biased;
                 () = moved => continue,
-                sent = timeout(patience, post(at, &mut connection, &batch)) => sent,
+                Some(ended) = requests.out.join_next() => ended,
+                () = sleep_until(requests.due) => {
+                    let most = if requests.one_by_one { 1 } else { MOST };
+                    requests.begin(at, self.queue.borrow().iter().take(most).cloned().collect());
+                    continue;
+                }
             };
-            match sent.unwrap_or(Err(HttpError::Silent)) {
-                Ok(()) => {
-                    self.queue.borrow_mut().drain(..batch.len());
-                    let settled = batch.into_iter().map(|n| n.txn).collect();
+            let Ok((numbers, result)) = ended else { continue };
+            match result {
+                Ok(connection) => {
+                    let mut settled = Vec::new();
+                    self.queue.borrow_mut().retain(|(number, notice)| {
+                        let open = !numbers.contains(number);
+                        if !open {
+                            settled.push(notice.txn.clone());
+                        }
+                        open
+                    });
+                    requests = Requests { kept: Some(connection), ..Requests::default() };
                     if host.send(Input::Settled(settled)).await.is_err() {
                         return;
                     }
-                    (patience, most) = (FIRST_PATIENCE, MOST);
                 }
                 Err(error) => {
-                    connection = None;
-                    if patience == FIRST_PATIENCE {
-                        tracing::warn!("reports: {} notices not taken: {error}; trying again", batch.len());
+                    if requests.gap == FIRST_GAP * 2 {
+                        tracing::warn!("reports: {} notices not taken: {error}; trying again", numbers.len());
                     }
                     if matches!(error, HttpError::Status(_)) {
                         // One that can't be read must not hold up the others: one at a time, in turn.
-                        most = 1;
+                        requests = Requests { one_by_one: true, gap: requests.gap, ..Requests::default() };
                         self.queue.borrow_mut().rotate_left(1);
+                        requests.due = Instant::now() + requests.gap / 4;
                     }
-                    sleep(patience / 4).await;
-                    patience = (patience * 2).min(LONGEST_PATIENCE);
+                    requests.due = requests.due.min(Instant::now() + requests.gap / 4);
                 }
             }
         }
     }
 }
 
+/// What is out of requests with notices, and when the next begins.
+#[derive(Debug)]
+struct Requests {
+    out: JoinSet<(Vec<u64>, Result<Kept, HttpError>)>,
+    kept: Option<Kept>,
+    due: Instant,
+    /// From the next one to the one after it.
+    gap: Duration,
+    one_by_one: bool,
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        let (out, due) = (JoinSet::new(), Instant::now());
+        Self { out, kept: None, due, gap: FIRST_GAP, one_by_one: false }
+    }
+}
+
+impl Requests {
+    fn begin(&mut self, at: SocketAddr, batch: Vec<(u64, Notice)>) {
+        let kept = self.kept.take();
+        self.due = Instant::now() + self.gap;
+        self.gap = (self.gap * 2).min(LONGEST_GAP);
+        self.out.spawn_local(async move {
+            let sent = timeout(PATIENCE, post(at, kept, &batch)).await;
+            (batch.iter().map(|(number, _)| *number).collect(), sent.unwrap_or(Err(HttpError::Silent)))
+        });
+    }
+}
+
 /// The connection that is kept, and the task that drives it.
 type Kept = (SendRequest<Full<Bytes>>, Driver);
 
-async fn post(addr: SocketAddr, kept: &mut Option<Kept>, batch: &[Notice]) -> Result<(), HttpError> {
-    let (mut sender, driver) = match kept.take().filter(|k| !k.0.is_closed()) {
+async fn post(addr: SocketAddr, kept: Option<Kept>, batch: &[(u64, Notice)]) -> Result<Kept, HttpError> {
+    let (mut sender, driver) = match kept.filter(|k| !k.0.is_closed()) {
         Some(kept) => kept,
         None => connect(addr).await?,
     };
     let mut lines = String::new();
-    for notice in batch {
+    for (_, notice) in batch {
         let id = &*notice.txn;
         let line = match notice.status {
             Status::Undeliverable => serde_json::json!({ "id": id, "status": "undeliverable" }),
@@ -128,6 +175,8 @@
         return Err(HttpError::Status(status));
     }
     response.into_body().collect().await?;
-    *kept = Some((sender, driver));
-    Ok(())
+    Ok((sender, driver))
 }
+
+#[cfg(test)]
+mod tests;
