--- a/crates/sender/src/outbound/tests/kept.rs
+++ b/crates/sender/src/outbound/tests/kept.rs
@@ -63,3 +63,21 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// What is written in small pieces is not held back, and does not go with a close.
+#[tokio::test]
+async fn a_dialled_connection_sends_small_writes_at_once() {
+    let test = async {
+        let (outbound, listener, mut inputs) = set_up().await;
+        outbound.start(call());
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        answer(&mut stream, "200 OK").await;
+        next(&mut inputs).await;
+        while outbound.idle.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        let kept = outbound.kept(ROUTE).expect("it is kept");
+        assert!(kept.socket.upgrade().expect("open").borrow().nodelay().expect("it is told"));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
