What a sender remembers stands in state.rs, types alone

The structs of decide.rs (destination, gate, route, message) hold no decision: they move as they are, their fields visible within decide.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -17,6 +17,7 @@
 mod outages;
 mod outcomes;
 mod scope;
+mod state;
 mod wants;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -35,6 +36,7 @@
 use crate::worth::Worth;
 use gate::{BURST, CUT_REST, REACH};
 use scope::Scope;
+use state::{Destination, Gate, Held, Ran, Route};
 
 /// So many senders each grow as if they were alone, and try what is down as often.
 const SHARERS: f64 = 3.0;
@@ -63,75 +65,6 @@
     ask_at: Option<Millis>,
 }
 
-/// A partner's system. Dropped when its last route is and no message waits for it.
-#[derive(Debug, Default)]
-struct Destination {
-    /// Messages that a call may carry, and whether each route has a gate of its own.
-    room: usize,
-    apart: bool,
-    routes: Vec<Route>,
-    /// The gate of all routes, unless they are apart.
-    shared: Gate,
-    /// Messages that may be decided on: not over and with no attempt out.
-    waiting: Vec<MessageId>,
-    calls: Calls,
-    flow: Flow,
-}
-
-/// Where requests and accepts are counted.
-#[derive(Clone, Debug, Default)]
-struct Gate {
-    window: Window,
-    wait_until: Millis,
-    draw_at: Millis,
-    /// Calls a second that the list tells for all senders together, and the pace where nothing is known.
-    told: f64,
-    start: f64,
-    pace: f64,
-    haste: f64,
-    cut_at: Millis,
-    latency: Latency,
-    /// Refusals since the last call that was let in, and when the first of them was.
-    turned: (u32, Millis),
-    /// Of its route, or of all routes that share it.
-    health: Health,
-    room: Room,
-}
-
-/// An endpoint. Dropped some time after it is gone, when no call is out to it.
-#[derive(Debug, Default)]
-struct Route {
-    id: RouteId,
-    gate: Gate,
-    zone: u8,
-    listing: Listing,
-    gone_at: Option<Millis>,
-    out: usize,
-    used_at: Millis,
-    /// Whether others judge it to be down.
-    judged: bool,
-}
-
-/// A message taken; kept until it is over and no attempt is out.
-#[derive(Debug, Default)]
-struct Held {
-    worth: Worth,
-    destination: DestinationId,
-    key: u64,
-    /// While it waits: when its final answer is due.
-    answer_at: Millis,
-    attempts: u32,
-    /// Number and call of the attempt that is out.
-    out: Option<(u32, u64)>,
-    /// The first attempt that may have taken effect.
-    maybe_ran: Option<Ran>,
-    dropped: bool,
-    over: bool,
-}
-
-/// When, by which route and in which zone a message may have taken effect.
-type Ran = (Millis, RouteId, u8);
-
 impl Sender {
     /// A sender with an empty memory; an error if the settings cannot work.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
