Parts of a cold partner add up to one, and the probe that found it back counts

A cold partner may get N + 2 root N + 2 calls in tip_after from all senders together. To blame: outages.rs 'part' (MOST_PART, a quarter for each), 'note' (the first call went at once on each sender's return), 'fails' (four failures, which a sender of hundreds does not see in an outage), 'recall' (a remembered quarter).

Parts are equal, or with notes the share of what all want: Event::Room tells that sum, those not heard of counted like the others. The probe counts as a call of slow start and the next one follows a drawn pause; probes together stay within N; where our part of the pushing calls is fewer than four and no notes tell, as few failures make an outage out.

--- a/crates/decide/src/decide.rs
+++ b/crates/decide/src/decide.rs
@@ -123,11 +123,12 @@
                 let gate = d.scope(*route).map(|scope| d.gate_of_mut(scope));
                 gate.into_iter().for_each(|gate| gate.wait_until = gate.wait_until.max(self.now + wait));
             }
-            Event::Room { destination, route, calls, lasts } => {
+            Event::Room { destination, route, calls, wanted, lasts } => {
                 let Some(d) = self.destinations.get_mut(destination) else { return };
                 let Some(scope) = d.scope(*route) else { return };
                 let (need, gate) = (d.need(scope, self.now), d.gate_of_mut(scope));
                 let turn = (gate.wait_until, gate.draw_at);
+                gate.room.all = *wanted;
                 gate.draw_at = gate.room.told(self.now, *calls, *lasts, need, turn);
             }
             Event::Turns { destination, route, turns } => {
--- a/crates/decide/src/decide/choice.rs
+++ b/crates/decide/src/decide/choice.rs
@@ -86,12 +86,9 @@
                 State::Up => {}
                 // One trial at a time: one that is overdue no longer counts.
                 State::Down { .. } => self.rest(d, scope, d.overdue_after(index), false),
-                State::Cold { since, part } => {
-                    // It has at least this share of its capacity so long after its return.
-                    let ready = d.routes.iter().filter(|r| r.listing == Listing::Ready).count();
-                    let sisters = if d.apart || scope == Scope::All { 1 } else { ready.max(1) };
-                    let rate = part * d.gate(index).told / sisters as f64 * self.settings.ramp(now - since);
-                    let ramp_at = now + self.chance.pause(1_000.0 / rate);
+                State::Cold { since, .. } => {
+                    let draw = self.chance.pause(1.0);
+                    let ramp_at = self.next_in_slow_start(d, scope, since, now, draw);
                     let health = d.health_mut(scope);
                     health.ramp_at = ramp_at;
                     if self.settings.warm(now - since) >= 1.0 {
--- a/crates/decide/src/decide/outages.rs
+++ b/crates/decide/src/decide/outages.rs
@@ -9,16 +9,16 @@
 /// Mean pause between trials of a route in an outage, ms, but no shorter than so many calls take at our part
 /// of the told rate: refused calls may count there. More in a fleet, up to the second: its trials alone push.
 const TRIAL_PAUSE: Millis = 400.0;
-const TRIAL_CALLS: (f64, f64) = (2.0, 4.0);
+const TRIAL_CALLS: f64 = 2.0;
 /// Longest time over which trials are spread once a told wait is over, ms.
 const TRIAL_SPREAD: Millis = 2_000.0;
-/// Largest part of a partner in an outage that a sender takes for its own, where an equal part is less.
-const MOST_PART: f64 = 0.25;
+/// Failures in a row, none answered well between, after which a route counts as down.
+const DOWN_RUN: f64 = 4.0;
 
 impl Sender {
     /// Takes an outcome into the counts of a route and of all that share its gate; it may tell of a return.
     pub(super) fn note(
-        &self,
+        &mut self,
         d: &mut Destination,
         index: usize,
         sent_at: Millis,
@@ -33,8 +33,8 @@
             if outcome == Outcome::Ok && health.proves_return(sent_at) {
                 // Departure (an outage was seen): from the first answer on the ramp bounds what it gets, but
                 // no earlier than the wait that was told is over.
-                let (since, part) = (self.now.max(d.gate(index).wait_until), self.part(d, scope));
-                d.health_mut(scope).cold(since, part);
+                let since = self.now.max(d.gate(index).wait_until);
+                self.begin_cold(d, scope, since, sent_at);
                 d.gate_mut(index).window.clear();
             } else if !shut && !health.concerns(sent_at) {
                 // It was sent before the outage: nothing that it says of any route is new.
@@ -50,15 +50,22 @@
     /// Whether a failure that was noted makes out an outage of this scope, or one goes on.
     pub(super) fn fails(&mut self, d: &mut Destination, scope: Scope, shut: bool) -> bool {
         let health = d.health(scope);
-        // A gate that is not up has shown that it is more than one route.
-        let whole = health.state != State::Up || d.most(scope, Health::ails);
-        if shut || health.is_down() || (health.failed_often() && whole) {
+        // A gate that is not up has shown that it is more than one route; after a failure another one is tried first.
+        let run = self.down_run(d, scope);
+        let twice = run < DOWN_RUN && health.failed_often(2.0);
+        let whole = health.state != State::Up || twice || d.most(scope, Health::ails);
+        if shut || health.is_down() || (health.failed_often(run) && whole) {
             self.rest(d, scope, 0.0, false);
         } else if health.errs() && whole {
             // Departure (about half the answers are errors, which count as accepts): it may come back cold.
-            let part = self.part(d, scope);
-            d.health_mut(scope).cold(self.now, part);
+            self.begin_cold(d, scope, self.now, self.now);
         } else {
+            if run < DOWN_RUN {
+                // Departure (as for `run`): until more is known it is tried again no faster than our part allows.
+                let pause = self.chance.pause(1_000.0 / (d.gate_of(scope).told * self.part(d, scope)));
+                let gate = d.gate_of_mut(scope);
+                gate.draw_at = gate.draw_at.max(self.now + pause);
+            }
             return false;
         }
         if scope == Scope::All {
@@ -67,23 +74,59 @@
         true
     }
 
-    /// Our part of a destination in an outage: what waits here against what was told to come since it began.
+    /// Our part of a destination in an outage: the parts of all senders add up to one. It is our share of what all
+    /// want, where notes tell of that, and an equal one else.
     fn part(&self, d: &Destination, scope: Scope) -> f64 {
-        let all = d.gate_of(scope).told * (self.now - d.health(scope).failing_since) / 1_000.0;
-        let equal = 1.0 / self.settings.peers_total as f64;
-        (d.waiting.len().max(1) as f64 / all.max(1.0)).clamp(equal, equal.max(MOST_PART))
+        let told = d.gate_of(scope).room.part(self.now, d.need(scope, self.now).0);
+        told.unwrap_or(1.0 / self.settings.peers_total as f64)
+    }
+
+    /// So many failures in a row make an outage out. Departure (no notes tell of all senders, and fewer calls are
+    /// our part of those that push a partner over): it would be over before we had seen so many.
+    fn down_run(&self, d: &Destination, scope: Scope) -> f64 {
+        let pushes = d.gate_of(scope).told * self.settings.tip_after / 1_000.0 * self.settings.fall_multiple;
+        let ours = (pushes * self.part(d, scope)).clamp(1.0, DOWN_RUN);
+        if d.shared_pace(scope, self.now).is_some() { DOWN_RUN } else { ours }
+    }
+
+    /// It is cold. The call that told of it was the first one of the slow start: the next comes a pause after it.
+    fn begin_cold(&mut self, d: &mut Destination, scope: Scope, since: Millis, sent_at: Millis) {
+        let (part, draw) = (self.part(d, scope), self.chance.pause(1.0));
+        let first = self.next_in_slow_start(d, scope, since, sent_at, draw);
+        d.health_mut(scope).cold(since, part, first);
+    }
+
+    /// When our next call may go in slow start: once there was room for so many since `from`, and as soon as it is warm.
+    pub(super) fn next_in_slow_start(
+        &self,
+        d: &Destination,
+        scope: Scope,
+        since: Millis,
+        from: Millis,
+        draw: f64,
+    ) -> Millis {
+        // A destination has at least this share of its capacity then.
+        let ready = d.routes.iter().filter(|r| r.listing == Listing::Ready).count();
+        let sisters = if d.apart || scope == Scope::All { 1 } else { ready.max(1) };
+        let ours = self.part(d, scope) * d.gate_of(scope).told / sisters as f64 / 1_000.0;
+        let (of, warm) = (|after| ours * self.settings.ramp(after), self.settings.warm_within);
+        // The first pause is long, and the room grows meanwhile; that it grows later is margin.
+        let growth = if from > since { 0.0 } else { (of(warm) - of(0.0)) / warm.max(1.0) };
+        let rate = of(from - since);
+        let after = 2.0 * draw / (rate + (rate * rate + 2.0 * growth * draw).sqrt());
+        (from + after).min(since + warm)
     }
 
     /// It is down; the next trial comes after a pause, `least` at the least.
     pub(super) fn rest(&mut self, d: &mut Destination, scope: Scope, least: Millis, silent: bool) {
-        let (gate, part) = (d.gate_of(scope), self.part(d, scope));
-        let calls = (TRIAL_CALLS.0 * self.sharers()).min(TRIAL_CALLS.1);
-        let mean = (calls * 1_000.0 / (gate.told * part)).max(TRIAL_PAUSE);
+        let (gate, equal) = (d.gate_of(scope), d.gate_of(scope).told * self.part(d, scope));
+        let begin = 1_000.0 / (equal * self.settings.ramp(0.0));
+        // Together no more than what it bears when it is cold.
+        let mean = (TRIAL_CALLS * self.sharers() * 1_000.0 / equal).min(begin * RAMP_PART).max(TRIAL_PAUSE);
         // At the end of a told wait there is room, until others have taken it: no better moment for a trial.
         // All who were told come then, and it is cold, or kept full by refused calls: together they ask no
         // faster than the ramp begins.
-        let (told, equal) = (gate.wait_until, gate.told / self.settings.peers_total as f64);
-        let apart = (1_000.0 / (equal * self.settings.ramp(0.0))).min(TRIAL_SPREAD * self.sharers());
+        let (told, apart) = (gate.wait_until, begin.min(TRIAL_SPREAD * self.sharers()));
         let trial_at = if told > self.now {
             told + apart * self.chance.unit()
         } else {
@@ -113,7 +156,10 @@
                 self.rest(&mut d, scope, 0.0, false);
             }
             if let Trouble::Cold { ago, part } = trouble {
-                d.health_mut(scope).cold(self.now - ago, part);
+                // Somewhere between two calls.
+                let (since, draw) = (self.now - ago, self.chance.unit());
+                let first = self.next_in_slow_start(&d, scope, since, self.now, draw);
+                d.health_mut(scope).cold(since, part, first);
             }
         }
         self.destinations.insert(to, d);
--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -8,8 +8,6 @@
 
 use crate::interface::{Millis, Outcome, Trouble};
 
-/// Failures in a row, none answered well between, after which a route counts as down.
-const DOWN_RUN: u32 = 4;
 /// Weight of the newest answer in the share of errors; above the line it is as cold as after an outage.
 const ERROR_WEIGHT: f64 = 0.25;
 const ERROR_LINE: f64 = 0.45;
@@ -67,9 +65,9 @@
         self.failures > 0
     }
 
-    /// Whether the latest failures in a row are as many as those of something that is down.
-    pub fn failed_often(&self) -> bool {
-        self.failures >= DOWN_RUN
+    /// Whether the latest failures in a row are so many.
+    pub fn failed_often(&self, run: f64) -> bool {
+        f64::from(self.failures) >= run
     }
 
     /// Whether about half of the answers are errors, or it errs again after such a time.
@@ -120,9 +118,10 @@
         };
     }
 
-    /// From `since` on the ramp bounds what it gets, `part` of it from us.
-    pub fn cold(&mut self, since: Millis, part: f64) {
-        (self.state, self.ramp_at) = (State::Cold { since, part }, self.ramp_at.max(since));
+    /// From `since` on slow start bounds what it gets, `part` of it from us; no call goes before `first`.
+    pub fn cold(&mut self, since: Millis, part: f64, first: Millis) {
+        let first = if self.is_cold() { since } else { since.max(first) };
+        (self.state, self.ramp_at) = (State::Cold { since, part }, self.ramp_at.max(first));
     }
 
     /// Nothing is the matter with it, as far as is known.
--- a/crates/decide/src/interface/event.rs
+++ b/crates/decide/src/interface/event.rs
@@ -92,6 +92,8 @@
         route: Option<RouteId>,
         /// Calls a second for each call that is wanted; infinite where there is enough for all.
         calls: f64,
+        /// Calls wanted by all senders, those not heard of reckoned like the others; 0 where that is not known.
+        wanted: f64,
         /// How long this may be relied on.
         lasts: Millis,
     },
--- a/crates/decide/tests/throttle.rs
+++ b/crates/decide/tests/throttle.rs
@@ -311,7 +311,7 @@
 
 /// What notes leave to a sender, for each call that it wants.
 fn room(calls: f64) -> Event {
-    Event::Room { destination: DestinationId(0), route: None, calls, lasts: 20_000.0 }
+    Event::Room { destination: DestinationId(0), route: None, calls, wanted: 0.0, lasts: 20_000.0 }
 }
 
 /// Nothing waits, and yet it wants what will come within the half second until the next notes.
--- a/crates/model/src/partner/client.rs
+++ b/crates/model/src/partner/client.rs
@@ -69,7 +69,8 @@
                 let room = rooms.iter().find(|(named, _)| *named == gate(want));
                 let calls = room.map_or(f64::INFINITY, |room| room.1);
                 let (destination, route) = (want.destination, want.route);
-                self.events.push(Event::Room { destination, route, calls, lasts: 1_000.0 });
+                let wanted = self.fleet.wanted(gate(want));
+                self.events.push(Event::Room { destination, route, calls, wanted, lasts: 1_000.0 });
             }
         }
         letters
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -52,7 +52,13 @@
                 }
                 Input::Wants(asker) => drop(asker.send(self.doings())),
                 Input::Rooms(rooms, lasts) => {
-                    let room = |(destination, route, calls)| Event::Room { destination, route, calls, lasts };
+                    let room = |(destination, route, calls, wanted)| Event::Room {
+                        destination,
+                        route,
+                        calls,
+                        wanted,
+                        lasts,
+                    };
                     events.extend(rooms.into_iter().map(room));
                 }
                 Input::Avoid(routes) => events.push(Event::Avoid(routes)),
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -50,8 +50,9 @@
     Succeed(oneshot::Sender<bool>),
     /// What is wanted of each limit, and what has been seen and taken on since the last time?
     Wants(oneshot::Sender<Doings>),
-    /// What notes leave of limits to this sender, calls a second for each that is wanted, and for how long.
-    Rooms(Vec<(DestinationId, Option<RouteId>, f64)>, Millis),
+    /// What notes leave of limits to this sender: calls a second for each that is wanted, how many all senders want, and
+    /// for how long.
+    Rooms(Vec<(DestinationId, Option<RouteId>, f64, f64)>, Millis),
     /// Where rights are kept: the turns at each limit that are this sender's, ms since 1970.
     Turns(Vec<(DestinationId, Option<RouteId>, Vec<rudderspindle_share::Turn>)>),
     /// Receivers that others of this hall judge to be down.
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -193,7 +193,8 @@
         let Some(rooms) = rooms else { return Some(letters) };
         let near: HashMap<_, _> = rooms.iter().copied().collect();
         let room = |(gate, want): &(_, Want)| {
-            (want.destination, want.route, near.get(gate).copied().unwrap_or(f64::INFINITY))
+            let calls = near.get(gate).copied().unwrap_or(f64::INFINITY);
+            (want.destination, want.route, calls, self.fleet.wanted(*gate))
         };
         host.send(Input::Rooms(wants.iter().map(room).collect(), LASTS)).await.ok()?;
         Some(letters)
--- a/crates/sender/src/peers/tests.rs
+++ b/crates/sender/src/peers/tests.rs
@@ -43,7 +43,7 @@
                 drop(asker.send(Doings { wants: vec![want(wanted)], ..Doings::default() }));
             }
             Input::Rooms(rooms, _) => {
-                if let Some((.., calls)) = rooms.first().filter(|room| room.2 < 0.9)
+                if let Some((_, _, calls, _)) = rooms.first().filter(|room| room.2 < 0.9)
                     && room.replace(*calls).is_none()
                 {
                     heard.set(heard.get() + 1);
--- a/crates/share/src/fleet.rs
+++ b/crates/share/src/fleet.rs
@@ -199,6 +199,14 @@
         self.levels.get(&gate).map_or(1.0, |level| level.open(limit))
     }
 
+    /// Calls that all senders want of a gate, by the sums that came last; 0 where these do not tell of it. Those whom the sums are not of count as the others, also such as are gone: parts of the
+    /// fleet that hear only themselves must not each take the whole.
+    pub fn wanted(&self, gate: Gate) -> f64 {
+        let Some(heard) = &self.heard else { return 0.0 };
+        let Some(sum) = heard.sums.get(&gate) else { return 0.0 };
+        sum.wanted * self.senders as f64 / heard.senders.max(1) as f64
+    }
+
     /// How many calls a second there are for each that is wanted: of each gate that is anywhere near its limit, by the
     /// sums that came last, and of each that is too new here for them to tell of. Nothing if none have come lately.
     pub fn rooms(&mut self, wall: u64) -> Option<Vec<(Gate, f64)>> {
--- a/crates/share/src/room.rs
+++ b/crates/share/src/room.rs
@@ -41,6 +41,8 @@
     /// Calls a second for each call that is wanted, and until when that may be relied on.
     calls: f64,
     until: Millis,
+    /// Calls wanted by all senders; 0 where notes do not tell.
+    pub all: f64,
     /// The pace that the turn at hand was set by; 0 if it was not set by one of ours.
     turn_pace: f64,
     /// Where rights are kept: the turns at hand by number, from when until when, and whether one is used.
@@ -90,6 +92,11 @@
         (self.until > now).then(|| if self.turns.is_some() { f64::INFINITY } else { pace() })
     }
 
+    /// Our share of what all senders want, while notes tell of that; the shares add up to one at most.
+    pub fn part(&self, now: Millis, wanted: f64) -> Option<f64> {
+        (self.until > now && self.all > 0.0).then(|| (wanted.max(1.0) / self.all).min(1.0))
+    }
+
     /// Takes in what notes say. When a turn at hand is due that was set by an older word: a told wait before it stays.
     pub fn told(
         &mut self,
