--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -6,6 +6,10 @@
 //! is used. Its state goes before that of a route, which still tells of a single route that fails beside
 //! sound ones.
 
+mod believed;
+
+pub(crate) use believed::{Health, State};
+
 use crate::interface::{Millis, Outcome, Trouble};
 
 /// Weight of the newest answer in the share of errors; above the line it is as cold as after an outage.
@@ -16,41 +20,6 @@
 /// The share of errors of a route that has erred within its last four answers or so.
 const ERRED: f64 = 0.1;
 
-/// What is believed of a route, or of all routes of a gate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) enum State {
-    #[default]
-    Up,
-    /// Nothing but a trial goes there, from `trial_at` on.
-    Down {
-        trial_at: Millis,
-        /// Since when: what comes of calls sent earlier tells nothing new.
-        since: Millis,
-        /// Calls were overdue, nothing more: any answer tells that it is back.
-        silent: bool,
-    },
-    /// It came back, or fails so much that it may: the ramp bounds what it gets.
-    Cold {
-        since: Millis,
-        /// The part of the ramp that is ours.
-        part: f64,
-    },
-}
-
-/// Failures and errors as they were seen, and what is believed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Health {
-    pub state: State,
-    /// When the next call of the ramp may go.
-    pub ramp_at: Millis,
-    pub failing_since: Millis,
-    pub answered_at: Millis,
-    failures: u32,
-    errors: f64,
-    /// What the host was last told to remember: the kind, since when, and until when a wait lasts.
-    told: (u8, Millis, Millis),
-}
-
 impl Health {
     pub fn is_down(&self) -> bool {
         matches!(self.state, State::Down { .. })
--- a/crates/decide/src/interface.rs
+++ b/crates/decide/src/interface.rs
@@ -1,4 +1,4 @@
-//! What a host tells a [`Sender`](crate::Sender) and what it gets back: settings, ids, events and actions.
+//! What a host tells a [`Sender`](crate::Sender) and what it gets back: settings, ids, events and actions. No decision.
 //!
 //! Types only. Every choice is made in `decide.rs` and the files in `decide`. Times are milliseconds; the clock may start anywhere.
 
--- a/crates/decide/src/interface/action.rs
+++ b/crates/decide/src/interface/action.rs
@@ -1,4 +1,4 @@
-//! What a sender wants done, and what it wants.
+//! What a sender wants done, and what it wants. No decision.
 
 use super::{DestinationId, MessageId, Millis, RouteId, Trouble};
 
--- a/crates/decide/src/interface/checks.rs
+++ b/crates/decide/src/interface/checks.rs
@@ -1,4 +1,4 @@
-//! Whether settings can work.
+//! Whether settings can work. No decision.
 
 use super::{Class, Effect, Settings};
 
--- a/crates/decide/src/interface/event.rs
+++ b/crates/decide/src/interface/event.rs
@@ -1,4 +1,4 @@
-//! What a sender is told.
+//! What a sender is told. No decision.
 
 use super::{DestinationId, ListChange, Message, MessageId, Millis, Past, RouteId};
 
--- a/crates/decide/src/interface/list.rs
+++ b/crates/decide/src/interface/list.rs
@@ -1,4 +1,4 @@
-//! The list of routes, and what is handed in.
+//! The list of routes, and what is handed in. No decision.
 
 use super::{DestinationId, MessageId, Millis, RouteId};
 
--- a/crates/decide/src/interface/settings.rs
+++ b/crates/decide/src/interface/settings.rs
@@ -1,4 +1,4 @@
-//! What a sender is told when it comes up.
+//! What a sender is told when it comes up. No decision.
 
 use super::Millis;
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,4 +1,4 @@
-//! The decisions of an outbound gateway that calls many partners' systems.
+//! The decisions of an outbound gateway that calls many partners' systems. No decision.
 //!
 //! A [`Sender`] takes messages, decides when and by which route each is tried, and answers every one of
 //! them once. It does no I/O, keeps no clock and starts no thread: the host hands in what has happened
--- a/crates/decide/src/quota/tests.rs
+++ b/crates/decide/src/quota/tests.rs
@@ -1,3 +1,5 @@
+//! Tests. No decision.
+
 use super::*;
 use crate::interface::*;
 
--- a/crates/decide/src/turns.rs
+++ b/crates/decide/src/turns.rs
@@ -1,4 +1,4 @@
-//! Ordering keys: whose turn it is, and which keys rest. No decision.
+//! Ordering keys: whose turn it is, and which keys rest.
 
 use std::collections::{BTreeMap, VecDeque};
 
