--- a/crates/decide/src/health.rs
+++ b/crates/decide/src/health.rs
@@ -6,10 +6,12 @@
 //! is used. Its state goes before that of a route, which still tells of a single route that fails beside
 //! sound ones.
 
+mod believed;
+
+pub(crate) use believed::{Health, State};
+
 use crate::interface::{Millis, Outcome, Trouble};
 
-/// Failures in a row, none answered well between, after which a route counts as down.
-const DOWN_RUN: u32 = 4;
 /// Weight of the newest answer in the share of errors; above the line it is as cold as after an outage.
 const ERROR_WEIGHT: f64 = 0.25;
 const ERROR_LINE: f64 = 0.45;
@@ -18,41 +20,6 @@
 /// The share of errors of a route that has erred within its last four answers or so.
 const ERRED: f64 = 0.1;
 
-/// What is believed of a route, or of all routes of a gate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) enum State {
-    #[default]
-    Up,
-    /// Nothing but a trial goes there, from `trial_at` on.
-    Down {
-        trial_at: Millis,
-        /// Since when: what comes of calls sent earlier tells nothing new.
-        since: Millis,
-        /// Calls were overdue, nothing more: any answer tells that it is back.
-        silent: bool,
-    },
-    /// It came back, or fails so much that it may: the ramp bounds what it gets.
-    Cold {
-        since: Millis,
-        /// The part of the ramp that is ours.
-        part: f64,
-    },
-}
-
-/// Failures and errors as they were seen, and what is believed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Health {
-    pub state: State,
-    /// When the next call of the ramp may go.
-    pub ramp_at: Millis,
-    pub failing_since: Millis,
-    pub answered_at: Millis,
-    failures: u32,
-    errors: f64,
-    /// What the host was last told to remember: the kind, since when, and until when a wait lasts.
-    told: (u8, Millis, Millis),
-}
-
 impl Health {
     pub fn is_down(&self) -> bool {
         matches!(self.state, State::Down { .. })
@@ -67,9 +34,9 @@
         self.failures > 0
     }
 
-    /// Whether the latest failures in a row are as many as those of something that is down.
-    pub fn failed_often(&self) -> bool {
-        self.failures >= DOWN_RUN
+    /// Whether the latest failures in a row are so many.
+    pub fn failed_often(&self, run: f64) -> bool {
+        f64::from(self.failures) >= run
     }
 
     /// Whether about half of the answers are errors, or it errs again after such a time.
@@ -120,9 +87,10 @@
         };
     }
 
-    /// From `since` on the ramp bounds what it gets, `part` of it from us.
-    pub fn cold(&mut self, since: Millis, part: f64) {
-        (self.state, self.ramp_at) = (State::Cold { since, part }, self.ramp_at.max(since));
+    /// From `since` on slow start bounds what it gets, `part` of it from us; no call goes before `first`.
+    pub fn cold(&mut self, since: Millis, part: f64, first: Millis) {
+        let first = if self.is_cold() { since } else { since.max(first) };
+        (self.state, self.ramp_at) = (State::Cold { since, part }, self.ramp_at.max(first));
     }
 
     /// Nothing is the matter with it, as far as is known.
