No answer is waited for in a message's last moment, which its client counts as over

Cause: a message's time counts from when its client sent it. Held::ends_at is reckoned when its last byte has been read, later by its way here and a tick, and a call was out until ends_at: an answer between the two ends was a delivery to us alone.

--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -1,5 +1,4 @@
-//! The engine: gathers what happens into batches, lets the module decide, writes the journal,
-//! and only then answers, reports and sends.
+//! The engine: gathers events into batches, lets the module decide, writes the journal, and only then acts.
 
 mod attempts;
 mod batch;
@@ -39,7 +38,7 @@
 const STOP_LAST: Duration = Duration::from_millis(3_300);
 /// How often the engine looks whether it can stop.
 const STOP_LOOK: Duration = Duration::from_millis(20);
-/// Longest time without a batch: nothing is due, so it only bounds the sleep.
+/// Longest time without a batch, where nothing is due.
 const IDLE: Duration = Duration::from_secs(3600);
 /// A receiver that has left the list keeps its name for longer than the module remembers it: it may only be
 /// away from a list that lags, and must not come back as one without a past.
@@ -220,7 +219,7 @@
             self.batch(inputs);
             if self.stopped() {
                 // Another process may have the journal from now on, and call again.
-                self.calls.values().for_each(AbortHandle::abort);
+                self.calls.values().for_each(CallOut::cancel);
                 return;
             }
         }
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -2,6 +2,12 @@
 
 use super::*;
 
+/// A message's time counts from when its client sent it; ours begins later by its way here, a tick in which it waits
+/// for the batch, and another. So much before the end as we know it an answer can no longer be told from one that
+/// comes after the end as its client knows it: it is not waited for.
+const ON_ITS_WAY: Duration = Duration::from_millis(5);
+const TICKS: f64 = 2.0;
+
 impl Engine {
     /// The attempt's place in the journal, and the call to make. While stopping none starts too late: the
     /// message then stays in the journal for the next start.
@@ -16,7 +22,9 @@
         if self.stop.is_some_and(|at| now - at >= STOP_SENDING) {
             return None;
         }
+        let ticks = Duration::from_secs_f64(TICKS * self.settings.tick.max(0.0) / 1_000.0);
         let held = self.held.get_mut(&id)?;
+        let last = held.ends_at.checked_sub(ticks + ON_ITS_WAY).unwrap_or(now);
         let (receiver, zone) = self.outbound.place(route)?;
         let attempt = held.attempts;
         held.attempts += 1;
@@ -26,7 +34,7 @@
         self.store.attempt(&held.txn, Ran { at: journal::wall_ms(), receiver, zone });
         let (txn, key, body) = (held.txn.clone(), held.key.clone(), held.body.clone());
         let patience = Duration::from_secs_f64(timeout.max(0.0) / 1_000.0);
-        let until = if timeout == 0.0 { held.ends_at } else { (now + patience).min(held.ends_at) };
+        let until = if timeout == 0.0 { last } else { (now + patience).min(last) };
         let within = Duration::try_from_secs_f64(within.max(0.0) / 1_000.0);
         let latest = within.map_or(held.ends_at, |within| now + within);
         Some(Call { id, attempt, route, txn, key, body, until, latest })
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
 mod cancels;
+mod deadline;
 
 /// An engine with one receiver for destination 7, and its inputs' other end.
 pub(super) fn engine(state: &std::path::Path) -> (Engine, mpsc::Sender<Input>) {
--- a/crates/sender/src/engine/tests/cancels.rs
+++ b/crates/sender/src/engine/tests/cancels.rs
@@ -6,7 +6,7 @@
 use super::*;
 
 /// The list's only receiver, played by the test.
-async fn receiver(engine: &mut Engine) -> TcpListener {
+pub(super) async fn receiver(engine: &mut Engine) -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let addr = listener.local_addr().expect("an address").to_string();
     let member = serde_json::json!({"id": "r1", "host_port": addr, "cell": 7, "phase": "SERVING"});
@@ -21,18 +21,24 @@
     engine.batch(vec![input]);
     assert_eq!(answered.await, Ok(Answer::Accepted));
     let (mut stream, _) = soon(listener.accept()).await.expect("a connection");
+    request(&mut stream).await;
+    stream
+}
+
+/// Reads a call to the last byte.
+pub(super) async fn request(stream: &mut TcpStream) -> Vec<u8> {
     let mut request = Vec::new();
     while !request.ends_with(b"text") {
         assert!(soon(stream.read_buf(&mut request)).await.expect("a request") > 0, "it ends too early");
     }
-    stream
+    request
 }
 
-async fn soon<T>(future: impl Future<Output = T>) -> T {
+pub(super) async fn soon<T>(future: impl Future<Output = T>) -> T {
     tokio::time::timeout(Duration::from_secs(20), future).await.expect("in time")
 }
 
-async fn until(mut holds: impl FnMut() -> bool) {
+pub(super) async fn until(mut holds: impl FnMut() -> bool) {
     soon(async {
         while !holds() {
             tokio::task::yield_now().await;
@@ -42,7 +48,7 @@
 }
 
 /// What has come for the engine, as one batch.
-fn batch(engine: &mut Engine) {
+pub(super) fn batch(engine: &mut Engine) {
     let mut inputs = Vec::new();
     while let Ok(input) = engine.inputs.try_recv() {
         inputs.push(input);
