--- a/crates/decide/src/decide/outages.rs
+++ b/crates/decide/src/decide/outages.rs
@@ -50,7 +50,7 @@
     /// Whether a failure that was noted makes out an outage of this scope, or one goes on.
     pub(super) fn fails(&mut self, d: &mut Destination, scope: Scope, shut: bool) -> bool {
         let health = d.health(scope);
-        // A gate that is not up has shown that it is more than one route; after a failure another one is tried first.
+        // A gate that is not up has shown that it is more than one route; after a failure another is next.
         let run = self.down_run(d, scope);
         let twice = run < DOWN_RUN && health.failed_often(2.0);
         let whole = health.state != State::Up || twice || d.most(scope, Health::ails);
@@ -61,7 +61,7 @@
             self.begin_cold(d, scope, self.now, self.now);
         } else {
             if run < DOWN_RUN {
-                // Departure (as for `run`): until more is known it is tried again no faster than our part allows.
+                // Departure (as for `run`): until more is known it is tried no faster than our part allows.
                 let pause = self.chance.pause(1_000.0 / (d.gate_of(scope).told * self.part(d, scope)));
                 let gate = d.gate_of_mut(scope);
                 gate.draw_at = gate.draw_at.max(self.now + pause);
@@ -74,29 +74,29 @@
         true
     }
 
-    /// Our part of a destination in an outage: the parts of all senders add up to one. It is our share of what all
-    /// want, where notes tell of that, and an equal one else.
+    /// Our part of a destination in an outage: the parts of all senders add up to one. It is our share of
+    /// what all want, where notes tell of that, and an equal one else.
     fn part(&self, d: &Destination, scope: Scope) -> f64 {
         let told = d.gate_of(scope).room.part(self.now, d.need(scope, self.now).0);
         told.unwrap_or(1.0 / self.settings.peers_total as f64)
     }
 
-    /// So many failures in a row make an outage out. Departure (no notes tell of all senders, and fewer calls are
-    /// our part of those that push a partner over): it would be over before we had seen so many.
+    /// So many failures in a row make an outage out. Departure (no notes tell of all senders, and fewer calls
+    /// are our part of those that push a partner over): it would be over before we had seen so many.
     fn down_run(&self, d: &Destination, scope: Scope) -> f64 {
         let pushes = d.gate_of(scope).told * self.settings.tip_after / 1_000.0 * self.settings.fall_multiple;
         let ours = (pushes * self.part(d, scope)).clamp(1.0, DOWN_RUN);
         if d.shared_pace(scope, self.now).is_some() { DOWN_RUN } else { ours }
     }
 
-    /// It is cold. The call that told of it was the first one of the slow start: the next comes a pause after it.
+    /// It is cold. The call that told of it was the first one of slow start: the next comes a pause after it.
     fn begin_cold(&mut self, d: &mut Destination, scope: Scope, since: Millis, sent_at: Millis) {
         let (part, draw) = (self.part(d, scope), self.chance.pause(1.0));
         let first = self.next_in_slow_start(d, scope, since, sent_at, draw);
         d.health_mut(scope).cold(since, part, first);
     }
 
-    /// When our next call may go in slow start: once there was room for so many since `from`, and as soon as it is warm.
+    /// When our next call may go in slow start: once there was room for so many since `from`, or it is warm.
     pub(super) fn next_in_slow_start(
         &self,
         d: &Destination,
--- a/crates/decide/src/turns.rs
+++ b/crates/decide/src/turns.rs
@@ -4,8 +4,8 @@
 
 use crate::interface::{MessageId, Millis};
 
-/// The messages of each ordering key in the order they were taken. A key goes when its messages have and its rest
-/// is over.
+/// The messages of each ordering key in the order they were taken. A key goes when its messages have and its
+/// rest is over.
 #[derive(Debug, Default)]
 pub(crate) struct Turns(BTreeMap<u64, Queue>);
 
