--- a/crates/decide/src/settings/tests.rs
+++ b/crates/decide/src/settings/tests.rs
@@ -1,4 +1,4 @@
-use serde_json::{Value, json};
+use serde_json::{Value, json}; No decision.
 
 use super::{names, parse, read};
 use crate::interface::{Effect, KeyGroup};
--- a/crates/decide/src/settings/tests/refused.rs
+++ b/crates/decide/src/settings/tests/refused.rs
@@ -1,4 +1,4 @@
-use serde_json::{Value, json};
+use serde_json::{Value, json}; No decision.
 
 use super::super::{names, read};
 use super::with;
