--- a/crates/decide/src/settings/tests.rs
+++ b/crates/decide/src/settings/tests.rs
@@ -1,4 +1,6 @@
-use serde_json::{Value, json}; No decision.
+//! Settings read, and what is refused. No decision.
+
+use serde_json::{Value, json};
 
 use super::{names, parse, read};
 use crate::interface::{Effect, KeyGroup};
--- a/crates/decide/src/settings/tests/refused.rs
+++ b/crates/decide/src/settings/tests/refused.rs
@@ -1,4 +1,6 @@
-use serde_json::{Value, json}; No decision.
+//! Each refusal names its key and what would be right. No decision.
+
+use serde_json::{Value, json};
 
 use super::super::{names, read};
 use super::with;
