--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -1,21 +1,17 @@
-//! Case 3: a new version under load, with a folder whose path is long, while the partner tells the sender to wait.
+//! Case 3: bad clients that send the id of another client's open request, and the same again as soon as it is turned away.
 
 mod common;
 
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::os::fd::AsRawFd;
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
 use common::*;
 
-/// The wait that the partner tells, and how much later than its start a call counts.
-const WAIT: f64 = 0.9;
-const LET_THROUGH: f64 = 0.15;
-/// Length of the path of the folder that lasts.
-const PATH_LEN: usize = 130;
+const BAD_CLIENTS: usize = 6;
+/// A bad client goes on for so long; each connection is owed an error or a close within 3 s.
+const BAD_FOR: f64 = 2.0;
+const WORK: Duration = Duration::from_millis(300);
 
 fn config(platform: SocketAddr, members: &[Member], listen: SocketAddr) -> String {
     format!(
@@ -24,7 +20,7 @@
  "settings":{{"az":0,"azs":["hall-a","hall-b"],"kinds":["any-size"],"me":0,"peers_total":1,"tick":5.0,"weights":"nominal",
   "discovery":"pushed",
   "lanes":[
-   {{"name":"clip-drop","effect":"guarded","group":"zone","window":15000.0,"credit":1.0,"target":4000.0,"deadline":28000.0,"late_worth":0.3}},
+   {{"name":"clip-drop","effect":"single_shot","group":"all","window":15000.0,"credit":1.0,"target":4000.0,"deadline":28000.0,"late_worth":0.3}},
    {{"name":"clip-status","effect":"free","group":"all","window":5000.0,"credit":3.0,"target":2000.0,"deadline":20000.0,"late_worth":0.3}}],
   "projects":[{{"name":"narmada-sports","fraction":1.0,"quota_per_s":50.0}}],
   "extra":{{"calls_out":4,"kind_apart":[false],"bundle_max":[1]}},
@@ -34,51 +30,8 @@
     )
 }
 
-fn message(id: &str) -> Message {
-    let key = Some(format!("5c0f6e1a2b3d4c59-{id}"));
-    Message { class: "clip-drop", id: id.to_owned(), key, dest: 7, remaining_s: 28.0, body: b"clip".to_vec() }
-}
-
-/// A partner: it answers `first` with 429 and a wait once it may, and any other call with 200 at once.
-struct Partner {
-    addr: SocketAddr,
-    may_answer: Arc<Mutex<bool>>,
-    told_at: Arc<Mutex<Option<f64>>>,
-    calls: Arc<Mutex<Vec<(f64, String)>>>,
-}
-
-fn partner(record: &Record) -> Partner {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
-    let partner = Partner { addr, may_answer: Arc::default(), told_at: Arc::default(), calls: Arc::default() };
-    let (may_answer, told_at, calls) = (partner.may_answer.clone(), partner.told_at.clone(), partner.calls.clone());
-    let record = record.clone();
-    thread::spawn(move || {
-        for mut stream in listener.incoming().map_while(Result::ok) {
-            let (may_answer, told_at, calls, record) = (may_answer.clone(), told_at.clone(), calls.clone(), record.clone());
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().unwrap());
-                while let Some(request) = read_request(&mut reader) {
-                    let id = request.header("x-txn").to_owned();
-                    calls.lock().unwrap().push((record.now(), id.clone()));
-                    record.line(format!("r1: call {id}"));
-                    let answer = if id == "first" && told_at.lock().unwrap().is_none() {
-                        while !*may_answer.lock().unwrap() {
-                            thread::sleep(Duration::from_millis(1));
-                        }
-                        let answer = format!("HTTP/1.1 429 Too Many\r\nX-Backoff-Ms: {:.0}\r\nContent-Length: 0\r\n\r\n", WAIT * 1_000.0);
-                        *told_at.lock().unwrap() = Some(record.now());
-                        answer
-                    } else {
-                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned()
-                    };
-                    record.line(format!("r1: answers {id}: {:?}", answer.lines().take(2).collect::<Vec<_>>()));
-                    let _ = stream.write_all(answer.as_bytes());
-                }
-            });
-        }
-    });
-    partner
+fn message(id: &str, text: &str) -> Message {
+    Message { class: "clip-drop", id: id.to_owned(), key: None, dest: 7, remaining_s: 28.0, body: format!("{text} of the clip").into_bytes() }
 }
 
 fn main() {
@@ -89,57 +42,57 @@
 }
 
 fn play(root: &std::path::Path, record: &Record) -> i32 {
-    let partner = partner(record);
-    let members = [Member { id: "club-a", addr: partner.addr, zone: "hall-a", kind: "any-size", cell: 7, size: 20.0 }];
+    let receiver = Receiver::start("r1", WORK, record);
+    let members = [Member { id: "club-a", addr: receiver.addr, zone: "hall-a", kind: "any-size", cell: 7, size: 20.0 }];
     let platform = Platform::start(members.to_vec(), record);
-    let short = std::env::temp_dir().as_os_str().len();
-    let path_len: usize = std::env::var("PATH_LEN").ok().and_then(|text| text.parse().ok()).unwrap_or(PATH_LEN);
-    let folder = Folder::new(&"n".repeat(path_len.saturating_sub(short + 40).max(1)));
-    record.line(format!("the folder that lasts has a path of {} bytes", folder.state().as_os_str().len()));
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let clients = listener.local_addr().unwrap();
-    folder.write_config(&config(platform.addr, &members, clients));
-    let (control_old, control_new) = (free_address(), free_address());
-    let start = |control| Start { root, folder: &folder, control: Some(control), listener: Some(listener.as_raw_fd()) };
-    let mut old = Program::start("old", &start(control_old), record);
-    wait_until_ready(clients, Duration::from_secs(20));
-    if hand_in(clients, &message("first"), record) != 202 {
-        return COULD_NOT_RUN;
-    }
-    let mut new = None;
-    if trouble() {
-        new = Some(Program::start("new", &start(control_new), record));
-        let asked_until = record.now() + 6.0;
-        while !control_call(control_new, "status") {
-            if record.now() > asked_until {
-                return COULD_NOT_RUN;
-            }
-            thread::sleep(Duration::from_millis(20));
+    let folder = Folder::new("review-3");
+    let listen = free_address();
+    folder.write_config(&config(platform.addr, &members, listen));
+    let program = Program::start("sender", &Start { root, folder: &folder, control: None, listener: None }, record);
+    wait_until_ready(listen, Duration::from_secs(20));
+
+    // Three usual clients, one after another, each with one message that may not be repeated.
+    for number in 0..3 {
+        let id = format!("9b1f03aa5c7e2d4{number}");
+        if hand_in(listen, &message(&id, "the-client"), record) != 202 {
+            record.line("verdict: could not run: the message was not taken on");
+            return COULD_NOT_RUN;
         }
-        record.line("new: says yes");
-        old.signal("TERM");
-    }
-    thread::sleep(Duration::from_millis(50));
-    *partner.may_answer.lock().unwrap() = true;
-    for number in 0..20 {
-        hand_in(clients, &message(&format!("m{number:02}")), record);
-        thread::sleep(Duration::from_millis(40));
-    }
-    if trouble() && !old.wait(Duration::from_millis(3_700)) {
-        old.signal("KILL");
+        let bad_clients: Vec<_> = (0..if trouble() { BAD_CLIENTS } else { 0 })
+            .map(|bad| {
+                let (record, id) = (record.clone(), id.clone());
+                thread::spawn(move || {
+                    let until = record.now() + BAD_FOR;
+                    while record.now() < until {
+                        match hand_in(listen, &message(&id, &format!("bad-client-{bad}")), &record) {
+                            429 | 503 => {}
+                            _ => return,
+                        }
+                    }
+                })
+            })
+            .collect();
+        bad_clients.into_iter().for_each(|client| client.join().unwrap());
+        thread::sleep(Duration::from_millis(1_500));
     }
-    thread::sleep(Duration::from_secs(2));
-    drop((old, new));
+    drop(program);
 
-    let Some(told_at) = *partner.told_at.lock().unwrap() else {
-        record.line("verdict: could not run: no wait was told");
-        return COULD_NOT_RUN;
-    };
-    let calls = partner.calls.lock().unwrap().clone();
-    let in_the_wait = calls.iter().filter(|(at, _)| *at > told_at + LET_THROUGH && *at < told_at + WAIT).count();
-    if in_the_wait > 0 {
-        record.line(format!("BROKEN: {in_the_wait} calls from 0.15 s after the wait of 0.9 s was told until its end"));
+    // The rule: a message that may not be repeated runs once.
+    let runs = receiver.runs.lock().unwrap().clone();
+    let mut broken = false;
+    for number in 0..3 {
+        let id = format!("9b1f03aa5c7e2d4{number}");
+        let of_message: Vec<&Run> = runs.iter().filter(|run| run.id == id).collect();
+        if of_message.len() > 1 {
+            let whose: Vec<&str> = of_message.iter().map(|run| run.subject.as_str()).collect();
+            record.line(format!("BROKEN: {id} has run {} times: {whose:?}", of_message.len()));
+            broken = true;
+        }
+        if of_message.is_empty() {
+            record.line(format!("BROKEN: {id} was taken on and has not run"));
+            broken = true;
+        }
     }
-    record.line(format!("verdict: {}", if in_the_wait > 0 { "the rule was broken" } else { "the rule held" }));
-    if in_the_wait > 0 { BROKEN } else { HELD }
+    record.line(format!("verdict: {}", if broken { "the rule was broken" } else { "the rule held" }));
+    if broken { BROKEN } else { HELD }
 }
