--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -17,6 +17,7 @@
 unsafe extern "C" {
     fn dup2(old: i32, new: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
 }
 
 /// The child is killed if the case ends without ending it.
@@ -149,9 +150,12 @@
         Self { child, name: name.to_owned(), record: record.clone() }
     }
 
+    /// Sends `TERM` or `KILL`.
     pub fn signal(&self, signal: &str) {
         self.record.line(format!("{}: SIG{signal}", self.name));
-        let _ = Command::new("kill").args([&format!("-{signal}"), &self.child.id().to_string()]).status();
+        let number = if signal == "TERM" { 15 } else { 9 };
+        // SAFETY: the process is a child of this one that has not been waited for.
+        unsafe { kill(self.child.id() as i32, number) };
     }
 
     /// Waits for the exit for at most `limit`; returns whether the process has exited.
