--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -420,7 +420,8 @@
         stream.write_all(&message.request()).ok()?;
         read_status(&mut stream, Duration::from_millis(400))
     });
-    record.line(format!("client: {} handed in: {}", message.id, status.map_or("no answer".to_owned(), |s| s.to_string())));
+    let text = String::from_utf8_lossy(&message.body[..message.body.len().min(24)]);
+    record.line(format!("client: {} for dest {} ({text:?}) handed in: {}", message.id, message.dest, status.map_or("no answer".to_owned(), |s| s.to_string())));
     status.unwrap_or(0)
 }
 
