Shutdown: messages that wait after the attempt window get their final outcome in time

Cause: 2 s after the stop request the engine dropped Action::Send in record_attempt without an outcome. To the policy the message then had an attempt in flight, and only waiting messages get a final outcome when it is due. A slow call keeps the engine running until 3.3 s, so nobody completed the message.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -53,6 +53,8 @@
     capacity_source: CapacitySource,
     subscription: Subscription,
     wake_timer: WakeTimer,
+    /// Whether attempts may start, see [`Policy::set_may_send`].
+    may_send: bool,
 }
 
 impl Policy {
@@ -72,6 +74,7 @@
             capacity_source: CapacitySource::default(),
             subscription: Subscription::new(settings.discovery),
             wake_timer: WakeTimer::default(),
+            may_send: true,
             context: Context { now: 0.0, settings, rng: Rng::new(seed) },
         })
     }
@@ -95,7 +98,9 @@
         self.messages.remove_idle_keys(self.context.now);
         self.refuse_or_fail_due_messages(actions);
         self.shed_load(actions);
-        self.draw_and_send(actions);
+        if self.may_send {
+            self.draw_and_send(actions);
+        }
         self.request_wake_up(actions);
     }
 
--- a/crates/policy/src/policy/events.rs
+++ b/crates/policy/src/policy/events.rs
@@ -60,6 +60,12 @@
         self.capacity_source.requires_permits = true;
     }
 
+    /// Sets whether attempts may start, which is so at first. While they may not, for example during the host's
+    /// shutdown, messages wait and still get their final outcome in time.
+    pub fn set_may_send(&mut self, may_send: bool) {
+        self.may_send = may_send;
+    }
+
     fn apply_list_change(&mut self, change: &ListChange) {
         let entries = match change {
             ListChange::Full(entries) | ListChange::Cached(entries) => {
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -38,12 +38,8 @@
 
 impl Engine {
     /// Records the start of an attempt, and returns the call to start once the record is written. `None` if the message
-    /// or the receiver is unknown, or if the shutdown no longer allows attempts: the message then stays in the journal
-    /// for the next process.
+    /// or the receiver is unknown.
     pub(super) fn record_attempt(&mut self, now: Instant, request: AttemptRequest) -> Option<Call> {
-        if !self.shutdown.allows_attempts(now) {
-            return None;
-        }
         let AttemptRequest { id, route, timeout, start_within } = request;
         let deadline_margin = from_millis(DEADLINE_MARGIN_TICKS * self.settings.tick) + REQUEST_TRANSIT_TIME;
         let message = self.tracked_messages.get_mut(id)?;
--- a/crates/sender/src/engine/shutdown.rs
+++ b/crates/sender/src/engine/shutdown.rs
@@ -6,7 +6,7 @@
 
 /// Time after the stop request during which new attempts may start. A later attempt might not finish before the engine
 /// stops.
-const ATTEMPT_START_WINDOW: Duration = Duration::from_millis(2_000);
+pub(super) const ATTEMPT_START_WINDOW: Duration = Duration::from_millis(2_000);
 /// Minimum duration of the shutdown if no successor shares the listener. Some clients still connect after the stop
 /// request, and the engine must answer them.
 const MIN_SHUTDOWN_DURATION: Duration = Duration::from_millis(600);
