Ids of messages that may have run are not accepted again as new messages

Cause: immediate_response (engine/intake.rs) knew an id only while its message was tracked or its notification pending; a delivered message leaves both in the batch of its outcome.

Tests changed: malformed_responses and submit_until_called used one id for several messages that each had to be called, against the protocol (X-Txn is new for each message); they use new ids now. notifications.rs expected 503 for the id of a message that failed after a call; 503 tells the client that the message has surely not run, so it expects 500 now.

Open: ids in flight at the other process during an upgrade (docs/incidents).

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod program;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,10 +38,14 @@
     all
 }
 
+/// Number of the next message that [`submit_until_called`] submits.
+static NEXT_PROBE: AtomicU64 = AtomicU64::new(0);
+
 /// Submits messages until one reaches the receiver, which needs the endpoint list that names it.
 pub async fn submit_until_called(program: &Program, receiver: &mut Receiver) {
     while receiver.has_no_calls() {
-        program.submit("safe", "probe", body()).await;
+        let number = NEXT_PROBE.fetch_add(1, Ordering::Relaxed);
+        program.submit("safe", &format!("probe-{number}"), body()).await;
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
--- a/crates/daemon/tests/malformed_responses.rs
+++ b/crates/daemon/tests/malformed_responses.rs
@@ -69,11 +69,12 @@
         );
         assert!(since.elapsed() < Duration::from_secs(3), "{case:?}: {:?}", since.elapsed());
         // A success in between: failures in a row would open the circuit breaker.
-        program.submit("once", "good", body()).await;
-        assert_eq!(responder.next_call().await, RawCall::new(2 * n + 1, "good"));
+        let (good, last) = (format!("good{n}"), format!("last{n}"));
+        program.submit("once", &good, body()).await;
+        assert_eq!(responder.next_call().await, RawCall::new(2 * n + 1, good));
         responder.then(&[b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"]);
-        program.submit("once", "last", body()).await;
-        assert_eq!(responder.next_call().await, RawCall::new(2 * n + 1, "last"));
+        program.submit("once", &last, body()).await;
+        assert_eq!(responder.next_call().await, RawCall::new(2 * n + 1, last));
     }
 }
 
--- a/crates/daemon/tests/notifications.rs
+++ b/crates/daemon/tests/notifications.rs
@@ -52,7 +52,8 @@
     }
 }
 
-/// The acknowledgement of the first notification would complete the second message in the journal.
+/// The acknowledgement of the first notification would complete the second message in the journal. The response is 500, because
+/// 503 would say that the message has surely not run.
 #[tokio::test]
 async fn a_message_id_with_a_pending_notification_is_not_accepted_again() {
     let Fixture { mut platform, mut receiver, program, folder: _folder, .. } =
@@ -61,7 +62,7 @@
     program.submit("once", "m1", body()).await;
     receiver.next_call().await;
     platform.next_notifications().await;
-    assert_eq!(program.submit("once", "m1", body()).await.status(), 503);
+    assert_eq!(program.submit("once", "m1", body()).await.status(), 500);
     assert!(receiver.has_no_calls());
 }
 
--- a/crates/journal/src/replay.rs
+++ b/crates/journal/src/replay.rs
@@ -7,11 +7,11 @@
 use rudderspindle_clock::UnixMillis;
 
 use crate::entries::{Entries, Entry, EntryState};
-use crate::message::PossibleExecution;
+use crate::message::{PossibleExecution, Status};
 use crate::outage_records::{OutageRecord, OutageRecords};
 use crate::record::{FRAME_LEN, FieldReader, MAX_PAYLOAD_LEN, Record};
 use crate::segments::{Segment, segment_path};
-use crate::{JournalError, Message};
+use crate::{JournalError, Message, MessageId};
 
 /// The state that the replayed records result in.
 #[derive(Debug, Default)]
@@ -22,6 +22,15 @@
     pub outage_records: OutageRecords,
     /// When the latest recorded attempt was sent; [`UnixMillis::EPOCH`] if there is none.
     pub latest_attempt: UnixMillis,
+    /// Complete messages that may have been executed.
+    possibly_executed: Vec<CompleteMessage>,
+}
+
+/// A complete message that may have been executed.
+#[derive(Debug)]
+struct CompleteMessage {
+    message_id: MessageId,
+    deadline: UnixMillis,
 }
 
 /// Replays the segments of processes that have exited, in the order of `numbers`, and truncates each segment after its
@@ -109,10 +118,17 @@
                     message.finish_attempt(attempt, possibly_executed);
                 }
             }
-            Record::Completed { message_id, notification: None } | Record::Acknowledged { message_id } => {
+            Record::Acknowledged { message_id } => {
+                self.entries.remove(&message_id);
+            }
+            Record::Completed { message_id, notification: None } => {
+                self.add_possibly_executed(&message_id);
                 self.entries.remove(&message_id);
             }
             Record::Completed { message_id, notification: Some(status) } => {
+                if status == Status::Undeliverable {
+                    self.add_possibly_executed(&message_id);
+                }
                 self.entries.insert(message_id, Entry { segment, state: EntryState::Notification(status) });
             }
             Record::Outage { endpoint, recorded_at, outage } => {
@@ -129,6 +145,22 @@
         self.entries.insert(message_id, Entry { segment, state: EntryState::Message(message) });
     }
 
+    /// Adds a message that is completed now, if an attempt of it may have been executed.
+    fn add_possibly_executed(&mut self, message_id: &MessageId) {
+        let Some(message) = self.entries.pending_message(message_id) else { return };
+        if message.possibly_executed.is_some() || message.in_flight.is_some() {
+            let complete = CompleteMessage { message_id: message_id.clone(), deadline: message.deadline };
+            self.possibly_executed.push(complete);
+        }
+    }
+
+    /// Ids of the complete messages that may have been executed and whose deadline has not passed.
+    pub fn possibly_executed_ids(&self) -> Vec<MessageId> {
+        let now = UnixMillis::now();
+        let before_deadline = self.possibly_executed.iter().filter(|message| message.deadline > now);
+        before_deadline.map(|message| message.message_id.clone()).collect()
+    }
+
     fn update_latest_attempt(&mut self, execution: Option<&PossibleExecution>) {
         if let Some(execution) = execution {
             self.latest_attempt = self.latest_attempt.max(execution.sent_at);
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -52,6 +52,8 @@
     outage_records: OutageRecords,
     /// When the latest attempt of an earlier process was sent; [`UnixMillis::EPOCH`] if none is recorded.
     latest_attempt: UnixMillis,
+    /// Ids of complete messages of an earlier process, see [`Store::take_possibly_executed`].
+    possibly_executed: Vec<MessageId>,
 }
 
 impl Store {
@@ -98,6 +100,7 @@
             segments,
             retained_records: Vec::new(),
             provisional_records: Vec::new(),
+            possibly_executed: state.possibly_executed_ids(),
             entries: state.entries,
             outage_records: state.outage_records,
             latest_attempt: state.latest_attempt,
@@ -126,6 +129,13 @@
         self.latest_attempt
     }
 
+    /// Ids of messages of an earlier process that are complete and may have been executed, and whose deadline has not passed.
+    /// Compaction deletes the records of complete messages, so the ids of the oldest ones may be missing. Each id is returned
+    /// once, because the journal does not keep it.
+    pub fn take_possibly_executed(&mut self) -> Vec<MessageId> {
+        std::mem::take(&mut self.possibly_executed)
+    }
+
     /// Whether a message, or its notification, is pending.
     pub fn contains(&self, message_id: &MessageId) -> bool {
         self.entries.contains(message_id)
--- a/crates/journal/src/store/takeover.rs
+++ b/crates/journal/src/store/takeover.rs
@@ -34,6 +34,7 @@
         self.lock.become_owner()?;
         self.segments.prepend(older_segments);
         self.budget = self.disk_budget;
+        self.possibly_executed.extend(state.possibly_executed_ids());
         let taken_over = self.entries.add_older(state.entries);
         self.latest_attempt = self.latest_attempt.max(state.latest_attempt);
         self.outage_records.add_older(state.outage_records);
--- a/crates/journal/src/store/tests.rs
+++ b/crates/journal/src/store/tests.rs
@@ -196,3 +196,36 @@
     drop(Store::open(folder.path(), BUDGET).expect("a journal"));
     assert_eq!(Store::open(folder.path(), BUDGET).expect("a journal").latest_attempt(), UnixMillis::EPOCH);
 }
+
+#[test]
+fn the_ids_of_complete_messages_that_may_have_run_are_recovered_until_their_deadline() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut store = Store::open(folder.path(), BUDGET).expect("a journal");
+    let deadline = UnixMillis::now() + 60_000;
+    let cases = ["delivered", "failed", "deferred", "never-sent", "not-run", "past-deadline", "pending"];
+    for message_id in cases {
+        let deadline = if message_id == "past-deadline" { UnixMillis(5) } else { deadline };
+        store.accept(Message { deadline, ..message(message_id, 10) });
+        if message_id != "never-sent" {
+            store.start_attempt(&message_id.into(), execution(1));
+        }
+    }
+    store.commit().expect("written");
+    store.finish_attempt(&"not-run".into(), 0, false);
+    for message_id in ["delivered", "never-sent", "not-run", "past-deadline"] {
+        store.complete(&message_id.into(), None);
+    }
+    store.complete(&"failed".into(), Some(Status::Undeliverable));
+    store.acknowledge(&"failed".into());
+    store.complete(&"deferred".into(), Some(Status::Deferred(None)));
+    store.commit().expect("written");
+    let mut successor = Store::open(folder.path(), BUDGET).expect("a journal");
+    assert_eq!(successor.take_possibly_executed(), [] as [MessageId; 0]);
+    drop(store);
+    successor.take_over().expect("readable").expect("the owner has exited");
+    assert_eq!(successor.take_possibly_executed(), ["delivered".into(), "failed".into()] as [MessageId; 2]);
+    drop(successor);
+    let mut reopened = Store::open(folder.path(), BUDGET).expect("a journal");
+    assert_eq!(reopened.take_possibly_executed(), ["delivered".into(), "failed".into()] as [MessageId; 2]);
+    assert_eq!(reopened.take_possibly_executed(), [] as [MessageId; 0]);
+}
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -12,6 +12,7 @@
 mod batch;
 mod calls_in_flight;
 mod commit;
+mod completed_messages;
 mod dependencies;
 mod endpoint_table;
 mod endpoints;
@@ -29,7 +30,7 @@
 
 use rudderspindle_journal::Store;
 use rudderspindle_policy::Policy;
-use rudderspindle_policy::interface::{Event, ListChange, Settings, SettingsError};
+use rudderspindle_policy::interface::{Event, ListChange, Millis, Settings, SettingsError};
 use rudderspindle_policy::settings::Names;
 use tokio::time::{Instant, sleep_until};
 
@@ -37,6 +38,7 @@
 use crate::event::{EndpointList, Input};
 use backlog::Backlog;
 use calls_in_flight::CallsInFlight;
+use completed_messages::CompletedMessages;
 pub use dependencies::{EngineDependencies, EngineIo, LimitSharing, PolicyOptions};
 use endpoint_table::EndpointTable;
 pub use outage_records::restore_outages;
@@ -71,6 +73,8 @@
     /// created. The next batch passes them to the policy.
     next_batch_events: Vec<Event>,
     tracked_messages: TrackedMessages,
+    /// Messages whose ids must not be accepted again for a while.
+    completed_messages: CompletedMessages,
     /// Recovered messages that wait for capacity in the policy.
     backlog: Backlog,
     endpoints: EndpointTable,
@@ -115,6 +119,9 @@
         let policy = options.build()?;
         let PolicyOptions { settings, names, .. } = options;
         let now = Instant::now();
+        // Clients may submit a message again until its deadline.
+        let max_deadline = settings.classes.iter().map(|class| class.deadline).fold(0.0, Millis::max);
+        let max_deadline = from_millis(max_deadline);
         Ok(Self {
             policy,
             policy_epoch: now,
@@ -129,6 +136,7 @@
             next_batch_inputs: Vec::new(),
             next_batch_events: Vec::new(),
             tracked_messages: TrackedMessages::default(),
+            completed_messages: CompletedMessages::new(max_deadline),
             backlog: Backlog::default(),
             calls: CallsInFlight::default(),
             activity: ActivityLog::new(collect_activity),
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::Engine;
+use super::completed_messages::Completion;
 use super::time::from_millis;
 use crate::event::{Call, CallOutcome, MESSAGE_LOG};
 use crate::metrics::FinalOutcome;
@@ -72,6 +73,7 @@
     /// event for the policy.
     pub(super) fn record_attempt_outcome(
         &mut self,
+        now: Instant,
         id: MessageHandle,
         attempt: u32,
         call_outcome: CallOutcome,
@@ -86,9 +88,12 @@
             if completed {
                 failpoint!("delivered-before-record");
                 self.store.complete(&message.message_id, None);
-                if outcome == Outcome::Ok {
+                let delivered = outcome == Outcome::Ok;
+                if delivered {
                     self.io.metrics.count_outcome(message.class, FinalOutcome::Delivered);
                 }
+                let completion = if delivered { Completion::Delivered } else { Completion::PossiblyExecuted };
+                self.completed_messages.insert(now, message.message_id.clone(), completion);
                 self.tracked_messages.remove(id);
             } else {
                 self.store.finish_attempt(&message.message_id, attempt, outcome.possibly_executed());
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -16,6 +16,7 @@
         self.last_batch_at = now;
         let mut events = std::mem::take(&mut self.next_batch_events);
         let mut intake = Intake::default();
+        self.completed_messages.remove_expired(now);
         for input in inputs {
             self.handle_input(input, now, &mut intake, &mut events);
         }
@@ -32,9 +33,9 @@
             Input::Submitted(submission) => {
                 events.extend(self.admit(submission, now, intake).map(Event::Message));
             }
-            Input::Withdrawn(submission) => events.extend(self.withdraw(submission)),
+            Input::Withdrawn(submission) => events.extend(self.withdraw(submission, now)),
             Input::AttemptFinished { id, attempt, outcome } => {
-                events.push(self.record_attempt_outcome(id, attempt, outcome));
+                events.push(self.record_attempt_outcome(now, id, attempt, outcome));
             }
             Input::HealthChecked { route, outcome } => events.push(Event::HealthChecked { route, outcome }),
             Input::List(list) => events.push(Event::List(self.apply_list(&list))),
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -18,6 +18,7 @@
 
 use super::Engine;
 use super::attempts::AttemptRequest;
+use super::completed_messages::Completion;
 use super::intake::{Intake, NewSubmission, PendingResponse};
 use super::outage_records::record_outage;
 use super::time::from_millis;
@@ -57,7 +58,7 @@
         self.record_submissions(intake.new_submissions, &mut completions, &mut effects);
         self.record_completions(now, completions, &mut effects);
         self.apply_actions(now, actions, &mut effects);
-        self.write_batch(&mut effects);
+        self.write_batch(now, &mut effects);
         self.execute_effects(effects);
     }
 
@@ -92,6 +93,9 @@
             }
             tracing::debug!(target: MESSAGE_LOG, message_id = &*message.message_id, ?status, "completed");
             self.store.complete(&message.message_id, Some(status));
+            if status == Status::Undeliverable {
+                self.completed_messages.insert(now, message.message_id.clone(), Completion::PossiblyExecuted);
+            }
             self.io.metrics.count_outcome(message.class, status.into());
             effects.notifications.push(PendingNotification { message_id: message.message_id, status });
         }
@@ -118,13 +122,13 @@
     }
 
     /// Writes the batch to the journal. If that fails, drops the effects that depend on the write.
-    fn write_batch(&mut self, effects: &mut Effects) {
+    fn write_batch(&mut self, now: Instant, effects: &mut Effects) {
         if !effects.accepted.is_empty() {
             failpoint!("accepted-before-record");
         }
         if let Err(error) = self.store.commit() {
             tracing::warn!(%error, "journal write failed");
-            self.drop_unwritten(effects);
+            self.drop_unwritten(now, effects);
         }
         if !effects.accepted.is_empty() {
             failpoint!("accepted-recorded");
@@ -135,7 +139,7 @@
     }
 
     /// Refuses the submissions and drops the attempts of a batch whose write failed.
-    fn drop_unwritten(&mut self, effects: &mut Effects) {
+    fn drop_unwritten(&mut self, now: Instant, effects: &mut Effects) {
         for AcceptedSubmission { id, response_sender } in effects.accepted.drain(..) {
             if let Some(message) = self.tracked_messages.remove(id) {
                 self.store.discard(&message.message_id);
@@ -148,8 +152,8 @@
             });
         }
         for call in effects.calls.drain(..) {
-            let event =
-                self.record_attempt_outcome(call.id, call.attempt, CallOutcome::from(Outcome::NotSent));
+            let not_sent = CallOutcome::from(Outcome::NotSent);
+            let event = self.record_attempt_outcome(now, call.id, call.attempt, not_sent);
             self.next_batch_events.push(event);
         }
     }
--- a/crates/sender/src/engine/intake.rs
+++ b/crates/sender/src/engine/intake.rs
@@ -8,6 +8,7 @@
 use tokio::time::Instant;
 
 use super::Engine;
+use super::completed_messages::Completion;
 use super::time::to_millis;
 use super::tracked_messages::{TrackedMessage, WithdrawnMessage};
 use crate::event::{Input, MESSAGE_LOG, Submission, SubmissionId, SubmissionResponse};
@@ -88,8 +89,8 @@
             .push(PendingResponse { response_sender: submission.response_sender, response });
     }
 
-    /// The response to a submission whose destination is unknown or whose message is already known; `None` for any
-    /// other submission.
+    /// The response to a submission whose destination is unknown, or whose message is already known or was completed a
+    /// short time ago; `None` for any other submission.
     fn immediate_response(&mut self, submission: &Submission, intake: &Intake) -> Option<SubmissionResponse> {
         if !self.endpoints.has_destination(submission.destination) {
             // Until the first endpoint list arrives, every destination is unknown. The client may submit the message
@@ -112,6 +113,12 @@
                 SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER
             });
         }
+        // The receiver has executed the message, or may have, so it must not be called with this id again.
+        match self.completed_messages.find(&submission.message_id) {
+            Some(Completion::Delivered) => return Some(SubmissionResponse::Accepted),
+            Some(Completion::PossiblyExecuted) => return Some(SubmissionResponse::Failed),
+            None => {}
+        }
         // The journal still contains a message whose notification is pending. The acknowledgement of that notification
         // must not complete a new message with the same id.
         self.store.contains(&submission.message_id).then_some(SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER)
@@ -184,10 +191,13 @@
 
     /// Removes a submission whose client has disconnected. If no other client has submitted the message, completes the
     /// message and returns the event for the policy.
-    pub(super) fn withdraw(&mut self, submission: SubmissionId) -> Option<Event> {
-        let WithdrawnMessage { handle, message_id } = self.tracked_messages.withdraw(submission)?;
+    pub(super) fn withdraw(&mut self, submission: SubmissionId, now: Instant) -> Option<Event> {
+        let WithdrawnMessage { handle, message_id, attempts } = self.tracked_messages.withdraw(submission)?;
         tracing::debug!(target: MESSAGE_LOG, message_id = &*message_id, "withdrawn");
         self.store.complete(&message_id, None);
+        if attempts > 0 {
+            self.completed_messages.insert(now, message_id, Completion::PossiblyExecuted);
+        }
         Some(Event::ClientDisconnected(handle))
     }
 }
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -15,6 +15,7 @@
 
 use super::Engine;
 use super::backlog::{RecoveredExecution, RecoveredMessage};
+use super::completed_messages::Completion;
 use super::time::to_millis;
 use super::tracked_messages::TrackedMessage;
 use crate::event::MESSAGE_LOG;
@@ -44,7 +45,7 @@
 
 impl Engine {
     /// Puts the messages of a journal into the backlog, and queues the notifications that the platform has not
-    /// acknowledged.
+    /// acknowledged. The ids of its complete messages are not accepted again for a while.
     pub(super) fn recover(
         &mut self,
         now: Instant,
@@ -56,6 +57,9 @@
         for notification in notifications {
             self.io.notifications.push(notification);
         }
+        for message_id in self.store.take_possibly_executed() {
+            self.completed_messages.insert(now, message_id, Completion::PossiblyExecuted);
+        }
         let wall_now = UnixMillis::now();
         let time = RecoveryTime { now, wall_now, clock_set_back: self.store.latest_attempt() > wall_now };
         if time.clock_set_back {
--- a/crates/sender/src/engine/tracked_messages.rs
+++ b/crates/sender/src/engine/tracked_messages.rs
@@ -46,6 +46,8 @@
     pub handle: MessageHandle,
     /// The id that the client gave the message.
     pub message_id: MessageId,
+    /// Number of attempts that were started.
+    pub attempts: u32,
 }
 
 impl TrackedMessage {
@@ -135,8 +137,8 @@
         if message.client_count() > 0 {
             return None;
         }
-        let message_id = self.remove(handle)?.message_id;
-        Some(WithdrawnMessage { handle, message_id })
+        let TrackedMessage { message_id, attempts, .. } = self.remove(handle)?;
+        Some(WithdrawnMessage { handle, message_id, attempts })
     }
 
     /// Stops tracking a message.
