Takeover: an owner keeps the disk space that its pending messages need

Cause: Store::share_disk lowered the owner's budget to half whatever was pending, and Segments::append refuses every record while the usage is over the budget.

Change: the owner's part is half, or what its pending entries and compaction need; the successor gets the rest, by a new handover message (only if it is less than half, and again as it grows). Both parts never exceed disk_mb, which the test checks. Rejected: half for the successor whatever the owner needs, because both together would then exceed disk_mb.

--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -39,8 +39,11 @@
     lock: FolderLock,
     /// Maximum disk usage of the segments of owner and successor together, in bytes.
     disk_budget: u64,
-    /// Maximum disk usage of this process's segments, in bytes: half of `disk_budget` while two processes write.
+    /// Maximum disk usage of this process's segments, in bytes. While two processes write, the owner's part and the
+    /// successor's part add up to `disk_budget`.
     budget: u64,
+    /// Whether this process shares the disk budget with a successor.
+    has_successor: bool,
     segments: Segments,
     /// Records of events that have happened (outcomes, completions, acknowledgements, outages): kept for the next batch if
     /// this batch cannot be written.
@@ -61,7 +64,7 @@
     /// `disk_budget` is the maximum disk usage of all segments together, in bytes.
     ///
     /// If another process owns the folder, this process becomes its successor: it replays no segment, and uses half of the
-    /// budget until [`Store::take_over`] makes it the owner.
+    /// budget, or the part that [`Store::set_successor_part`] sets, until [`Store::take_over`] makes it the owner.
     ///
     /// # Errors
     ///
@@ -97,6 +100,7 @@
             lock,
             disk_budget,
             budget,
+            has_successor: false,
             segments,
             retained_records: Vec::new(),
             provisional_records: Vec::new(),
--- a/crates/journal/src/store/takeover.rs
+++ b/crates/journal/src/store/takeover.rs
@@ -3,9 +3,9 @@
 use crate::JournalError;
 use crate::message::TakenOver;
 use crate::replay::{ReplayedState, replay_segments};
-use crate::segments::segment_numbers;
+use crate::segments::{SEGMENT_SIZE, segment_numbers};
 
-use super::{COMPACTION_FREE_SPACE, Store};
+use super::{COMPACTION_FREE_SPACE, Store, UNRESERVABLE_SPACE};
 
 impl Store {
     /// Whether this process is the owner of the folder; otherwise it is the owner's successor.
@@ -42,19 +42,62 @@
         Ok(Some(taken_over))
     }
 
-    /// Limits this process to half of the disk budget while it has a successor, and to the whole budget otherwise.
+    /// Limits this process to its part of the disk budget while it has a successor: half, or as much as its pending entries
+    /// and compaction need if that is more. A later call lowers a part above half once fewer entries are pending. Without a
+    /// successor, this process uses the whole budget.
     ///
     /// # Errors
     ///
-    /// [`JournalError`] if compaction to half of the budget failed; the limit of new records is nevertheless lowered to half.
+    /// [`JournalError`] if compaction to that part failed; the part then includes the space that compaction did not free.
     pub fn share_disk(&mut self, with_successor: bool) -> Result<(), JournalError> {
+        self.has_successor = with_successor;
         if !with_successor {
             self.budget = self.disk_budget;
             return Ok(());
         }
-        let half = self.disk_budget / 2;
-        let compacted = self.compact_to(half.saturating_sub(COMPACTION_FREE_SPACE));
-        self.budget = half;
+        let target = self.needed_part();
+        let compacted = self.compact_to(target.saturating_sub(COMPACTION_FREE_SPACE));
+        let in_use = self.segments.disk_usage() + COMPACTION_FREE_SPACE;
+        self.budget = target.max(in_use).min(self.budget);
         compacted
     }
+
+    /// The part of the disk budget that this process leaves to its successor, in bytes: half at most.
+    pub fn successor_part(&self) -> u64 {
+        (self.disk_budget - self.budget).min(self.disk_budget / 2)
+    }
+
+    /// Whether the successor's part is half of the disk budget.
+    pub fn leaves_half_to_successor(&self) -> bool {
+        self.budget <= self.owner_half()
+    }
+
+    /// Whether this process has a successor to which [`Store::share_disk`] would leave at least one more segment, or the rest
+    /// of its half.
+    pub fn can_leave_more_to_successor(&self) -> bool {
+        if !self.has_successor || self.leaves_half_to_successor() {
+            return false;
+        }
+        let needed = self.needed_part();
+        needed + SEGMENT_SIZE <= self.budget || needed == self.owner_half()
+    }
+
+    /// Limits this process, as a successor, to the part of the disk budget that the owner leaves to it, in bytes: half at
+    /// most. Does nothing if this process is the owner.
+    pub fn set_successor_part(&mut self, bytes: u64) {
+        if !self.is_owner() {
+            self.budget = bytes.min(self.disk_budget / 2);
+        }
+    }
+
+    /// The part of the disk budget that this process needs while it has a successor.
+    fn needed_part(&self) -> u64 {
+        let needed = self.entries.reserved_bytes() + UNRESERVABLE_SPACE;
+        needed.max(self.owner_half()).min(self.disk_budget)
+    }
+
+    /// The smallest part of the disk budget to which an owner is limited.
+    fn owner_half(&self) -> u64 {
+        self.disk_budget - self.disk_budget / 2
+    }
 }
--- a/crates/journal/src/store/tests/takeover.rs
+++ b/crates/journal/src/store/tests/takeover.rs
@@ -130,3 +130,46 @@
         successor.segments.disk_usage()
     );
 }
+
+/// Guards against an owner that can no longer write: with pending messages that need more than half of the disk budget, each
+/// of its writes failed once a successor shared the budget.
+#[test]
+fn an_owner_whose_pending_messages_need_more_than_half_of_the_budget_can_still_write() {
+    const BODY_LEN: usize = 60_000;
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut owner = open(&folder);
+    let mut pending = Vec::new();
+    while owner.has_space_for(message("m", BODY_LEN).reserved_bytes()) {
+        let message_id = MessageId::from(format!("m{}", pending.len()));
+        owner.accept(message(&message_id, BODY_LEN));
+        owner.commit().expect("written");
+        pending.push(message_id);
+    }
+    assert!(owner.segments.disk_usage() > BUDGET / 2, "{}", owner.segments.disk_usage());
+    owner.share_disk(true).expect("compacted");
+    let mut successor = open(&folder);
+    let mut parts = Vec::new();
+    for message_id in pending {
+        owner.start_attempt(&message_id, execution(1));
+        owner.commit().expect("the start of an attempt is written");
+        owner.complete(&message_id, None);
+        owner.commit().expect("the completion is written");
+        if owner.can_leave_more_to_successor() {
+            owner.share_disk(true).expect("compacted");
+        }
+        successor.set_successor_part(owner.successor_part());
+        parts.push(owner.successor_part());
+        // The successor fills its part with messages that it delivers at once.
+        let own_id = MessageId::from(format!("successor-{}", parts.len()));
+        if successor.has_space_for(message(&own_id, BODY_LEN).reserved_bytes()) {
+            successor.accept(message(&own_id, BODY_LEN));
+            successor.commit().expect("the successor's part has space");
+            successor.complete(&own_id, None);
+            successor.commit().expect("written");
+        }
+        assert!(owner.segments.disk_usage() + successor.segments.disk_usage() <= BUDGET);
+    }
+    assert!(parts.is_sorted() && parts[0] < BUDGET / 2, "{parts:?}");
+    assert_eq!(parts.last(), Some(&(BUDGET / 2)));
+    assert!(owner.leaves_half_to_successor() && !owner.can_leave_more_to_successor());
+}
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -52,6 +52,7 @@
             }
             // Each call in flight uses one of the connection slots that both processes share.
             Input::PeerProcessCallsInFlight(calls) => self.policy.set_slots_used_by_peer(calls),
+            Input::PeerProcessDiskSpace(bytes) => self.store.set_successor_part(bytes),
             Input::CapacityUpdates(updates) => events.extend(updates.into_iter().map(Event::Capacity)),
             Input::Permits(updates) => {
                 let wall_now = UnixMillis::now();
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -177,6 +177,7 @@
             self.calls.insert(id, self.io.outbound.start_call(call));
         }
         self.announce_changed_calls();
+        self.release_disk_space();
     }
 }
 
--- a/crates/sender/src/engine/takeover.rs
+++ b/crates/sender/src/engine/takeover.rs
@@ -27,9 +27,27 @@
             self.io.peer_process.send(message);
         }
         self.announce_calls();
+        if !self.store.leaves_half_to_successor() {
+            self.announce_disk_space();
+        }
         self.io.peer_process.send(HandoverMessage::FreeSpace);
     }
 
+    /// Leaves more of the disk budget to the successor once fewer messages are pending here.
+    pub(super) fn release_disk_space(&mut self) {
+        if self.store.can_leave_more_to_successor() {
+            self.share_disk(true);
+            self.announce_disk_space();
+        }
+    }
+
+    /// Announces the successor's part of the disk budget.
+    fn announce_disk_space(&self) {
+        let bytes = self.store.successor_part();
+        tracing::info!(bytes, "part of the disk budget left to the successor");
+        self.io.peer_process.send(HandoverMessage::DiskSpace(bytes));
+    }
+
     /// Reclaims the connection slots and the disk budget that were shared with the peer process.
     pub(super) fn peer_process_disconnected(&mut self) {
         self.policy.set_slots_used_by_peer(0);
@@ -40,7 +58,7 @@
         }
     }
 
-    /// Limits the journal to half of the disk budget, or restores the whole budget.
+    /// Limits the journal to its part of the disk budget, or restores the whole budget.
     fn share_disk(&mut self, with_successor: bool) {
         if let Err(error) = self.store.share_disk(with_successor) {
             tracing::warn!(%error, with_successor, "disk budget could not be changed");
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -73,6 +73,8 @@
     /// The number of calls that the peer process has in flight. Both processes share the connection slots of the
     /// sender.
     PeerProcessCallsInFlight(usize),
+    /// The part of the journal's disk budget that the owner leaves to this process, its successor, in bytes.
+    PeerProcessDiskSpace(u64),
     /// Take over the journal if the process that owns it has ended. The response is whether this process owns the
     /// journal now.
     TakeOver(oneshot::Sender<bool>),
--- a/crates/sender/src/handover/golden.rs
+++ b/crates/sender/src/handover/golden.rs
@@ -54,6 +54,8 @@
         retry_after(Some("a \"b\"\n\u{e9}"), 1e300),
         HandoverMessage::CallsInFlight(0),
         HandoverMessage::CallsInFlight(4_096),
+        HandoverMessage::DiskSpace(0),
+        HandoverMessage::DiskSpace(1_500_000),
         HandoverMessage::FreeSpace,
     ]
 }
--- a/crates/sender/src/handover/message.rs
+++ b/crates/sender/src/handover/message.rs
@@ -39,7 +39,12 @@
     /// this sender.
     #[serde(rename = "out")]
     CallsInFlight(usize),
-    /// End of the state transfer. From then on the successor may use half of the journal's disk budget.
+    /// The part of the journal's disk budget that the owner leaves to its successor, in bytes. Sent before the end of
+    /// the state transfer if it is less than half, and again whenever it grows.
+    #[serde(rename = "disk")]
+    DiskSpace(u64),
+    /// End of the state transfer. From then on the successor may use its part of the journal's disk budget: half unless
+    /// [`HandoverMessage::DiskSpace`] was sent.
     #[serde(rename = "room")]
     FreeSpace,
 }
@@ -52,6 +57,7 @@
                 Some(Input::PeerProcessBackoff { destination, receiver, wait: ms })
             }
             Self::CallsInFlight(calls) => Some(Input::PeerProcessCallsInFlight(calls)),
+            Self::DiskSpace(bytes) => Some(Input::PeerProcessDiskSpace(bytes)),
             Self::Hello(_) | Self::OutageState { .. } | Self::FreeSpace => None,
         }
     }
--- a/crates/sender/src/handover/successor.rs
+++ b/crates/sender/src/handover/successor.rs
@@ -20,8 +20,8 @@
 pub struct HandoverState {
     /// Outages, backoffs and calls in flight, in the order in which the owner sent them.
     pub messages: Vec<HandoverMessage>,
-    /// Whether the end of the transfer was received. If so, the owner leaves half of the journal's disk budget to this
-    /// process.
+    /// Whether the end of the transfer was received. If so, the owner leaves a part of the journal's disk budget to this
+    /// process: half, or as much as the last [`HandoverMessage::DiskSpace`] says.
     pub is_complete: bool,
 }
 
