--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -28,7 +28,7 @@
 
 use std::time::Duration;
 
-use rudderspindle_journal::Store;
+use rudderspindle_journal::{PendingNotification, Store};
 use rudderspindle_policy::Policy;
 use rudderspindle_policy::interface::{Event, ListChange, Millis, Settings, SettingsError};
 use rudderspindle_policy::settings::Names;
@@ -38,6 +38,7 @@
 use crate::event::{EndpointList, Input};
 use backlog::Backlog;
 use calls_in_flight::CallsInFlight;
+use commit::JOURNAL_RETRY_DELAY;
 use completed_messages::CompletedMessages;
 pub use dependencies::{EngineDependencies, EngineIo, LimitSharing, PolicyOptions};
 use endpoint_table::EndpointTable;
@@ -67,6 +68,8 @@
     shutdown: Shutdown,
     /// When the last batch started.
     last_batch_at: Instant,
+    /// Notifications about messages whose completion is not in the journal yet, because the write has failed.
+    unwritten_notifications: Vec<PendingNotification>,
     /// Submissions that did not fit into the last batch of the journal.
     next_batch_inputs: Vec<Input>,
     /// Events for the policy that arose after the events of the last batch were passed to it, or while the engine was
@@ -133,6 +136,7 @@
             io,
             shutdown: Shutdown::new(shared_listener),
             last_batch_at: now,
+            unwritten_notifications: Vec::new(),
             next_batch_inputs: Vec::new(),
             next_batch_events: Vec::new(),
             tracked_messages: TrackedMessages::default(),
@@ -180,6 +184,8 @@
     /// When the next batch is due if no input arrives before.
     fn next_batch_due(&self) -> Instant {
         let now = Instant::now();
+        let has_unwritten = !self.unwritten_notifications.is_empty();
+        let journal_retry = has_unwritten.then_some(self.last_batch_at + JOURNAL_RETRY_DELAY);
         let can_recover = !self.backlog.is_empty() && self.policy.free_capacity() > 0;
         let latest = if !self.next_batch_events.is_empty() || can_recover {
             now
@@ -188,7 +194,8 @@
         } else {
             now + MAX_BATCH_INTERVAL
         };
-        self.timers.due_times().chain(self.backlog.deadlines()).fold(latest, Instant::min)
+        let due_times = self.timers.due_times().chain(self.backlog.deadlines()).chain(journal_retry);
+        due_times.fold(latest, Instant::min)
     }
 
     /// The work that must be finished before the engine can stop.
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -4,12 +4,14 @@
 //! the journal's buffer, and collect [`Effects`], which are executed after the write.
 //!
 //! If the write fails, submissions are refused and attempts are dropped. Completions stay in the journal's buffer until
-//! a later write: the completed messages are not sent again, and the notifications about them are sent to the platform.
+//! a later write, and the notifications about them are sent only after that write: if the process ends before, the next
+//! process sends these messages again.
 //! Cancellations and health checks are executed before the write, because they do not depend on the journal.
 //!
 //! In this module, "to record" means to add to the journal's buffer.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rudderspindle_journal::{PendingNotification, Status};
 use rudderspindle_policy::interface::{Action, Event, MessageHandle, Millis, Outcome};
@@ -25,6 +27,9 @@
 use crate::event::{Call, CallOutcome, MESSAGE_LOG, SubmissionResponse};
 use crate::metrics::FinalOutcome;
 
+/// Time after a failed write of the journal before the next write, if no other batch is due earlier.
+pub(super) const JOURNAL_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// The final status of each message that the policy completes without delivery, by the message's handle.
 type Completions = BTreeMap<MessageHandle, Status>;
 
@@ -126,9 +131,13 @@
         if !effects.accepted.is_empty() {
             failpoint!("accepted-before-record");
         }
-        if let Err(error) = self.store.commit() {
-            tracing::warn!(%error, "journal write failed");
-            self.drop_unwritten(now, effects);
+        match self.store.commit() {
+            Ok(()) => effects.notifications.append(&mut self.unwritten_notifications),
+            Err(error) => {
+                tracing::warn!(%error, "journal write failed");
+                self.unwritten_notifications.append(&mut effects.notifications);
+                self.drop_unwritten(now, effects);
+            }
         }
         if !effects.accepted.is_empty() {
             failpoint!("accepted-recorded");
--- a/crates/sender/src/engine/commit/tests.rs
+++ b/crates/sender/src/engine/commit/tests.rs
@@ -9,8 +9,12 @@
 use super::super::Engine;
 use super::super::intake::Intake;
 use super::super::tests::{engine, submission};
+use super::JOURNAL_RETRY_DELAY;
 use crate::event::{Input, SubmissionResponse};
 
+/// Disk budget of a journal, in bytes.
+const DISK_BUDGET: u64 = 3_000_000;
+
 /// Admits a submission without passing its message to the policy.
 fn admit(engine: &mut Engine, input: Input) -> (Intake, MessageHandle) {
     let Input::Submitted(submission) = input else { panic!("the input is not a submission") };
@@ -100,3 +104,27 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a message that was given back and sent later: the platform was notified of a completion that could not be
+/// written, and the next process found the message pending in the journal.
+#[tokio::test]
+async fn a_notification_is_sent_only_once_its_completion_is_written() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let test = async {
+        // The engine's journal is that of a successor, whose disk budget can be changed.
+        let _owner = Store::open(folder.path(), DISK_BUDGET).expect("a journal");
+        let (mut engine, _inputs) = engine(folder.path());
+        let (input, _response) = submission(1, "m1");
+        let (intake, id) = admit(&mut engine, input);
+        engine.commit_batch(Instant::now(), intake, Vec::new());
+        engine.store.set_successor_part(0);
+        let refuse = Action::Refuse { id, retry_after: 0.0 };
+        engine.commit_batch(Instant::now(), Intake::default(), vec![refuse]);
+        assert!(engine.io.notifications.is_idle(), "the completion is not written");
+        assert!(engine.next_batch_due() <= Instant::now() + JOURNAL_RETRY_DELAY);
+        engine.store.set_successor_part(DISK_BUDGET);
+        engine.run_batch(Vec::new());
+        assert!(!engine.io.notifications.is_idle(), "the completion is written");
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -118,7 +118,8 @@
             message_ids.sort_unstable();
             for message_id in message_ids {
                 self.store.complete(&message_id, Some(Status::Undeliverable));
-                self.io.notifications.push(PendingNotification { message_id, status: Status::Undeliverable });
+                let notification = PendingNotification { message_id, status: Status::Undeliverable };
+                self.unwritten_notifications.push(notification);
             }
         }
     }
