--- a/crates/journal/src/message.rs
+++ b/crates/journal/src/message.rs
@@ -64,6 +64,14 @@
         self.in_flight = execution;
     }
 
+    /// Takes back the start of an attempt that could not be written.
+    pub(crate) fn discard_attempt(&mut self, attempt: u32) {
+        if self.attempts == attempt.saturating_add(1) {
+            self.attempts = attempt;
+            self.in_flight = None;
+        }
+    }
+
     /// Records the outcome of an attempt. `None` stands for the attempt in flight, because older versions did not store the
     /// number of the attempt.
     ///
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -170,6 +170,14 @@
         message.start_attempt(attempt, Some(execution));
     }
 
+    /// Takes back the start of attempt number `attempt`, counted from 0, whose record could not be written; nothing is
+    /// recorded. The next attempt has the same number.
+    pub fn discard_attempt(&mut self, message_id: &MessageId, attempt: u32) {
+        if let Some(message) = self.entries.pending_message_mut(message_id) {
+            message.discard_attempt(attempt);
+        }
+    }
+
     /// Records the outcome of attempt number `attempt`, counted from 0.
     pub fn finish_attempt(&mut self, message_id: &MessageId, attempt: u32, possibly_executed: bool) {
         let Some(message) = self.entries.pending_message_mut(message_id) else { return };
--- a/crates/policy/src/destination/results.rs
+++ b/crates/policy/src/destination/results.rs
@@ -68,5 +68,8 @@
 /// Whether an outcome depends on the limit or the receiver; the throttle and the breakers ignore other
 /// outcomes.
 fn counts_at_throttle(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::NotSent | Outcome::AttemptsExhausted | Outcome::Cancelled)
+    !matches!(
+        outcome,
+        Outcome::NotSent | Outcome::NotStarted | Outcome::AttemptsExhausted | Outcome::Cancelled
+    )
 }
--- a/crates/policy/src/interface/event.rs
+++ b/crates/policy/src/interface/event.rs
@@ -24,6 +24,9 @@
     Cancelled,
     /// The attempt was never sent.
     NotSent,
+    /// The host could not start the attempt, for a reason that does not depend on the receiver. It does not
+    /// count as an attempt: the next one has the same number.
+    NotStarted,
     /// The attempt was never sent, because the message has had the maximum number of attempts. The policy
     /// must still give the message its final outcome.
     AttemptsExhausted,
@@ -34,7 +37,11 @@
     pub fn possibly_executed(self) -> bool {
         match self {
             Self::Ok | Self::Error | Self::Timeout | Self::Reset | Self::Cancelled => true,
-            Self::Rejected | Self::ConnectFailed | Self::NotSent | Self::AttemptsExhausted => false,
+            Self::Rejected
+            | Self::ConnectFailed
+            | Self::NotSent
+            | Self::NotStarted
+            | Self::AttemptsExhausted => false,
         }
     }
 }
--- a/crates/policy/src/messages.rs
+++ b/crates/policy/src/messages.rs
@@ -64,8 +64,10 @@
         execution: Option<PossibleExecution>,
     ) {
         let Some(message) = self.by_id.get_mut(&result.id) else { return };
-        if result.outcome == Outcome::AttemptsExhausted {
-            message.attempts = context.settings.max_attempts;
+        match result.outcome {
+            Outcome::AttemptsExhausted => message.attempts = context.settings.max_attempts,
+            Outcome::NotStarted => message.attempts = result.attempt,
+            _ => {}
         }
         if !result.outcome.possibly_executed() || result.outcome == Outcome::Ok {
             return;
--- a/crates/sender/src/activity.rs
+++ b/crates/sender/src/activity.rs
@@ -35,7 +35,9 @@
         let result = match outcome {
             Outcome::Ok | Outcome::Rejected => CallResult::Answered,
             Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => CallResult::Failed,
-            Outcome::Cancelled | Outcome::NotSent | Outcome::AttemptsExhausted => return,
+            Outcome::Cancelled | Outcome::NotSent | Outcome::NotStarted | Outcome::AttemptsExhausted => {
+                return;
+            }
         };
         if !self.enabled {
             return;
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -70,6 +70,8 @@
     last_batch_at: Instant,
     /// Notifications about messages whose completion is not in the journal yet, because the write has failed.
     unwritten_notifications: Vec<PendingNotification>,
+    /// When attempts may start again after a failed write of the journal.
+    send_not_before: Instant,
     /// Submissions that did not fit into the last batch of the journal.
     next_batch_inputs: Vec<Input>,
     /// Events for the policy that arose after the events of the last batch were passed to it, or while the engine was
@@ -136,6 +138,7 @@
             io,
             shutdown: Shutdown::new(shared_listener),
             last_batch_at: now,
+            send_not_before: now,
             unwritten_notifications: Vec::new(),
             next_batch_inputs: Vec::new(),
             next_batch_events: Vec::new(),
@@ -186,6 +189,7 @@
         let now = Instant::now();
         let has_unwritten = !self.unwritten_notifications.is_empty();
         let journal_retry = has_unwritten.then_some(self.last_batch_at + JOURNAL_RETRY_DELAY);
+        let resume_sending = (self.send_not_before > self.last_batch_at).then_some(self.send_not_before);
         let can_recover = !self.backlog.is_empty() && self.policy.free_capacity() > 0;
         let latest = if !self.next_batch_events.is_empty() || can_recover {
             now
@@ -194,7 +198,8 @@
         } else {
             now + MAX_BATCH_INTERVAL
         };
-        let due_times = self.timers.due_times().chain(self.backlog.deadlines()).chain(journal_retry);
+        let due_times = self.timers.due_times().chain(self.backlog.deadlines());
+        let due_times = due_times.chain(journal_retry).chain(resume_sending);
         due_times.fold(latest, Instant::min)
     }
 
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -69,6 +69,19 @@
         })
     }
 
+    /// Takes back an attempt whose record could not be written. Returns the event for the policy.
+    pub(super) fn discard_attempt(&mut self, call: &Call) -> Event {
+        let Call { id, attempt, .. } = *call;
+        if let Some(message) = self.tracked_messages.get_mut(id) {
+            message.attempts = attempt;
+            message.called_receiver = None;
+            self.store.discard_attempt(&message.message_id, attempt);
+        }
+        let completed = !self.tracked_messages.contains(id);
+        let outcome = Outcome::NotStarted;
+        Event::Outcome(AttemptResult { id, attempt, outcome, retry_after: 0.0, completed })
+    }
+
     /// Records the outcome of an attempt, and completes the message if [`CallOutcome::completed`] is set. Returns the
     /// event for the policy.
     pub(super) fn record_attempt_outcome(
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -75,10 +75,10 @@
         }
     }
 
-    /// Passes the events to the policy; returns its actions. If the shutdown no longer allows attempts, the policy must
+    /// Passes the events to the policy; returns its actions. While no attempt may start, the policy must
     /// not start any: a message with an attempt in flight gets no final outcome before the outcome of that attempt.
     fn decide(&mut self, now: Instant, events: &[Event]) -> Vec<Action> {
-        self.policy.set_may_send(self.shutdown.allows_attempts(now));
+        self.policy.set_may_send(self.shutdown.allows_attempts(now) && now >= self.send_not_before);
         let mut actions = Vec::new();
         self.policy.handle(to_millis(now - self.policy_epoch), events, &mut actions);
         actions
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -3,9 +3,9 @@
 //! Invariant: no response and no call is sent before the write. The steps before the write change only the engine and
 //! the journal's buffer, and collect [`Effects`], which are executed after the write.
 //!
-//! If the write fails, submissions are refused and attempts are dropped. Completions stay in the journal's buffer until
-//! a later write, and the notifications about them are sent only after that write: if the process ends before, the next
-//! process sends these messages again.
+//! If the write fails, submissions are refused, and attempts are taken back, so that they do not count. Completions stay
+//! in the journal's buffer until a later write, and the notifications about them are sent only after that write: if the
+//! process ends before, the next process sends these messages again.
 //! Cancellations and health checks are executed before the write, because they do not depend on the journal.
 //!
 //! In this module, "to record" means to add to the journal's buffer.
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use rudderspindle_journal::{PendingNotification, Status};
-use rudderspindle_policy::interface::{Action, Event, MessageHandle, Millis, Outcome};
+use rudderspindle_policy::interface::{Action, Event, MessageHandle, Millis};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -24,7 +24,7 @@
 use super::intake::{Intake, NewSubmission, PendingResponse};
 use super::outage_records::record_outage;
 use super::time::from_millis;
-use crate::event::{Call, CallOutcome, MESSAGE_LOG, SubmissionResponse};
+use crate::event::{Call, MESSAGE_LOG, SubmissionResponse};
 use crate::metrics::FinalOutcome;
 
 /// Time after a failed write of the journal before the next write, if no other batch is due earlier.
@@ -147,8 +147,10 @@
         }
     }
 
-    /// Refuses the submissions and drops the attempts of a batch whose write failed.
+    /// Refuses the submissions and takes back the attempts of a batch whose write failed. The messages of these attempts
+    /// are sent again after [`JOURNAL_RETRY_DELAY`].
     fn drop_unwritten(&mut self, now: Instant, effects: &mut Effects) {
+        self.send_not_before = now + JOURNAL_RETRY_DELAY;
         for AcceptedSubmission { id, response_sender } in effects.accepted.drain(..) {
             if let Some(message) = self.tracked_messages.remove(id) {
                 self.store.discard(&message.message_id);
@@ -161,8 +163,7 @@
             });
         }
         for call in effects.calls.drain(..) {
-            let not_sent = CallOutcome::from(Outcome::NotSent);
-            let event = self.record_attempt_outcome(now, call.id, call.attempt, not_sent);
+            let event = self.discard_attempt(&call);
             self.next_batch_events.push(event);
         }
     }
--- a/crates/sender/src/engine/commit/tests.rs
+++ b/crates/sender/src/engine/commit/tests.rs
@@ -1,8 +1,12 @@
 //! Responses and calls are sent only after the batch is written to the journal. If the write fails, submissions are
 //! refused and no call starts.
 
+use std::time::Duration;
+
 use rudderspindle_journal::Store;
-use rudderspindle_policy::interface::{Action, AttemptResult, Event, MessageHandle, Outcome, RouteId};
+use rudderspindle_policy::interface::{
+    Action, AttemptResult, Event, MessageHandle, Millis, Outcome, RouteId,
+};
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::time::Instant;
 
@@ -15,6 +19,9 @@
 /// Disk budget of a journal, in bytes.
 const DISK_BUDGET: u64 = 3_000_000;
 
+/// Duration of a backoff, in milliseconds.
+const BACKOFF_MS: Millis = 100.0;
+
 /// Admits a submission without passing its message to the policy.
 fn admit(engine: &mut Engine, input: Input) -> (Intake, MessageHandle) {
     let Input::Submitted(submission) = input else { panic!("the input is not a submission") };
@@ -46,7 +53,7 @@
         assert!(!engine.store.contains(&"m1".into()));
         let [
             Event::ClientDisconnected(dropped),
-            Event::Outcome(AttemptResult { id: finished, outcome: Outcome::NotSent, .. }),
+            Event::Outcome(AttemptResult { id: finished, outcome: Outcome::NotStarted, .. }),
         ] = engine.next_batch_events[..]
         else {
             panic!(
@@ -128,3 +135,34 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a message that is given back without a call: each write that failed cost it one of its attempts.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_that_cannot_be_written_does_not_count() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let test = async {
+        let _owner = Store::open(folder.path(), DISK_BUDGET).expect("a journal");
+        let (mut engine, _inputs) = engine(folder.path());
+        // The backoff delays the first attempt until the writes fail.
+        let backoff = Input::PeerProcessBackoff { destination: 7, receiver: None, wait: BACKOFF_MS };
+        let (input, response) = submission(1, "m1");
+        engine.run_batch(vec![backoff, input]);
+        assert_eq!(response.await, Ok(SubmissionResponse::Accepted));
+        engine.store.set_successor_part(0);
+        let until = Instant::now() + Duration::from_millis(BACKOFF_MS as u64) + JOURNAL_RETRY_DELAY * 20;
+        while Instant::now() < until {
+            tokio::time::advance(Duration::from_millis(1)).await;
+            engine.run_batch(Vec::new());
+            assert!(engine.calls.is_empty() && engine.tracked_messages.len() == 1);
+        }
+        engine.store.set_successor_part(DISK_BUDGET);
+        tokio::time::advance(JOURNAL_RETRY_DELAY).await;
+        while engine.calls.is_empty() {
+            tokio::time::advance(Duration::from_millis(1)).await;
+            engine.run_batch(Vec::new());
+            assert!(Instant::now() < until + Duration::from_secs(1), "no attempt has started");
+        }
+        assert_eq!(engine.store.pending_message(&"m1".into()).map(|message| message.attempts), Some(1));
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
