The copy of a response is not taken for the response to the next call

The sender had written the next call to the connection 1 to 8 ms after the response, and took the copy for its response: messages were sent again while they ran, outside their group, twice at once, and taken for delivered.

Cause: IdlePool::take returned a connection as soon as its response was read; bytes that arrive after the next request is written cannot be told from its response. Ruled out: bytes that arrive before it, which TrackedStream has always checked for. Reproduced over loopback: outbound/tests/repeated_responses.rs writes the copy with the response, behind it, or once the next request is read.

Change: a connection rests for 25 ms before it is used again, and a call waits for it rather than open a new one; after any response but 200 it is used only for calls that may be repeated, and is reset if such a call gets the same outcome.

Not fixed: a copy of a 200 that comes later than 25 ms, after the next request.

--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -5,7 +5,9 @@
 use rudderspindle_clock::UnixMillis;
 use rudderspindle_gossip::ReceiverId;
 use rudderspindle_journal::PossibleExecution;
-use rudderspindle_policy::interface::{AttemptResult, Event, MessageHandle, Millis, Outcome, RouteId};
+use rudderspindle_policy::interface::{
+    AttemptResult, Effect, Event, MessageHandle, Millis, Outcome, RouteId,
+};
 use tokio::time::Instant;
 
 use super::Engine;
@@ -64,6 +66,7 @@
             message_id: message.message_id.clone(),
             idempotency_key: message.idempotency_key.clone(),
             body: message.body.clone(),
+            idempotent: self.settings.classes[message.class].effect == Effect::Idempotent,
             response_deadline,
             write_deadline: time_to_write.map_or(message.deadline, |time_to_write| now + time_to_write),
         })
--- a/crates/sender/src/event/delivery.rs
+++ b/crates/sender/src/event/delivery.rs
@@ -69,6 +69,8 @@
     pub idempotency_key: Option<Bytes>,
     /// The message's payload.
     pub body: Bytes,
+    /// Whether the message may be executed more than once.
+    pub idempotent: bool,
     /// When the response must have arrived; a later response does not count.
     pub response_deadline: Instant,
     /// When the request must be written completely; no part of it is sent after this time.
--- a/crates/sender/src/outbound/connection.rs
+++ b/crates/sender/src/outbound/connection.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
+use rudderspindle_policy::interface::Outcome;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -18,6 +19,10 @@
 use super::outcome::Interruption;
 use crate::write_progress::{MAX_BUFFER, TrackedStream, WriteProgress};
 
+/// How long a connection must have been idle before the next request is written to it. A receiver may write a second copy
+/// of a response behind it. A copy that arrives after the next request is written cannot be told from the response to that
+/// request; one that arrives before closes the connection.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(25);
 /// Minimum TCP user timeout that is set, because the system interprets 0 as its default.
 const MIN_USER_TIMEOUT: Duration = Duration::from_millis(1);
 
@@ -34,6 +39,9 @@
     task: JoinHandle<()>,
     idle_since: Instant,
     is_idle: bool,
+    /// The outcome of the last response, unless it was a success. The same outcome of the next response may come from a
+    /// copy of the last one.
+    unsuccessful_outcome: Option<Outcome>,
     /// Whether the system's timeout for unacknowledged bytes is set.
     has_user_timeout: bool,
 }
@@ -63,6 +71,7 @@
             task,
             idle_since: Instant::now(),
             is_idle: false,
+            unsuccessful_outcome: None,
             has_user_timeout: false,
         })
     }
@@ -88,6 +97,25 @@
         self.is_idle = false;
     }
 
+    /// Records the outcome of a response. Returns whether the response may be a copy of the one before, which then is not a
+    /// response to the current request.
+    pub(super) fn record_outcome(&mut self, outcome: Outcome) -> bool {
+        let may_be_copy = self.unsuccessful_outcome == Some(outcome);
+        self.unsuccessful_outcome = (outcome != Outcome::Ok).then_some(outcome);
+        may_be_copy
+    }
+
+    /// Whether a request that must not be executed twice may be sent over the connection: only if the last response was a
+    /// success, because a copy of any other response would make the request appear not executed.
+    pub(super) fn is_safe_for_unrepeatable_calls(&self) -> bool {
+        self.unsuccessful_outcome.is_none()
+    }
+
+    /// When the next request may be written to the connection, which must be idle.
+    pub(super) fn usable_at(&self) -> Instant {
+        self.idle_since + MIN_IDLE_TIME
+    }
+
     /// Whether the connection is open and has been idle for less than `max_idle_time`.
     pub(super) fn is_reusable(&self, now: Instant, max_idle_time: Duration) -> bool {
         !self.sender.is_closed() && now - self.idle_since < max_idle_time
--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Takes an idle connection, or opens one.
+    /// Takes an idle connection, if necessary once it has been idle long enough, or opens one.
     ///
     /// # Errors
     ///
@@ -103,14 +103,25 @@
         exchange: &Exchange<'_>,
         target: Target,
     ) -> Result<AcquiredConnection, Outcome> {
-        if let Some(connection) = self.idle.take(exchange.route) {
-            return Ok(AcquiredConnection { connection, reused: true });
-        }
         let RequestDeadlines { response_deadline, write_deadline, .. } = exchange.deadlines;
+        let latest_use = response_deadline.min(write_deadline);
+        loop {
+            if let Some(connection) = self.idle.take(exchange.route, exchange.request.is_idempotent()) {
+                return Ok(AcquiredConnection { connection, reused: true });
+            }
+            // Waiting for a connection costs the receiver less than a new one.
+            let usable_at = self.idle.next_usable_at(exchange.route, exchange.request.is_idempotent());
+            let Some(usable_at) = usable_at.filter(|&usable_at| usable_at < latest_use) else { break };
+            tokio::select! {
+                biased;
+                () = exchange.cancelled.notified() => return Err(Outcome::NotSent),
+                () = sleep_until(usable_at) => {}
+            }
+        }
         let connected = tokio::select! {
             biased;
             () = exchange.cancelled.notified() => Err(Interruption::Cancelled),
-            connected = self.connect(target.addr, response_deadline.min(write_deadline)) => connected,
+            connected = self.connect(target.addr, latest_use) => connected,
         };
         match connected {
             Ok(connection) => Ok(AcquiredConnection { connection, reused: false }),
@@ -203,7 +214,7 @@
         &self,
         exchange: &Exchange<'_>,
         target: Target,
-        connection: Connection,
+        mut connection: Connection,
         reused: bool,
         response: ReliableResponse,
     ) -> ExchangeOutcome {
@@ -214,7 +225,10 @@
         // If the response is received before the last byte of the request is written, the connection is closed, so that
         // the rest of the request is not sent.
         let request_complete = RequestProgress::of(&connection.write_progress) == RequestProgress::Complete;
-        let used_connection = request_complete.then_some(UsedConnection { connection, unread_body });
+        // If the response is a copy, the call may be in progress, and is given up by closing the connection.
+        let may_be_copy = connection.record_outcome(call_outcome.outcome);
+        let is_reusable = request_complete && !may_be_copy;
+        let used_connection = is_reusable.then_some(UsedConnection { connection, unread_body });
         ExchangeOutcome { call_outcome, used_connection }
     }
 }
--- a/crates/sender/src/outbound/pool.rs
+++ b/crates/sender/src/outbound/pool.rs
@@ -27,19 +27,31 @@
         Self { by_route: RefCell::default(), max_idle_time }
     }
 
-    /// Takes the idle connection of a route that was used last, so that the others can expire. Returns `None` if the
-    /// route has no reusable connection.
-    pub(super) fn take(&self, route: RouteId) -> Option<Connection> {
+    /// Takes the idle connection of a route that was used last among those that may be used now for a call (see
+    /// [`Connection::usable_at`] and [`Connection::is_safe_for_unrepeatable_calls`]), so that the others can expire.
+    /// Returns `None` if the route has no such connection.
+    pub(super) fn take(&self, route: RouteId, idempotent: bool) -> Option<Connection> {
         let now = Instant::now();
         let mut by_route = self.by_route.borrow_mut();
         let connections = by_route.get_mut(&route)?;
-        while let Some(mut connection) = connections.pop() {
-            if connection.is_reusable(now, self.max_idle_time) {
-                connection.mark_in_use();
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|connection| connection.is_reusable(now, self.max_idle_time));
+        let is_usable = |connection: &Connection| {
+            connection.usable_at() <= now && (idempotent || connection.is_safe_for_unrepeatable_calls())
+        };
+        let index = connections.iter().rposition(is_usable)?;
+        let mut connection = connections.remove(index);
+        connection.mark_in_use();
+        Some(connection)
+    }
+
+    /// When the next idle connection of a route may be used for a call; `None` if no connection will be.
+    pub(super) fn next_usable_at(&self, route: RouteId, idempotent: bool) -> Option<Instant> {
+        let by_route = self.by_route.borrow();
+        let is_usable_later = |connection: &&Connection| {
+            connection.is_reusable(connection.usable_at(), self.max_idle_time)
+                && (idempotent || connection.is_safe_for_unrepeatable_calls())
+        };
+        by_route.get(&route)?.iter().filter(is_usable_later).map(Connection::usable_at).min()
     }
 
     /// Closes the idle connections of a route.
--- a/crates/sender/src/outbound/request.rs
+++ b/crates/sender/src/outbound/request.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Whether the request may be executed more than once.
+    pub(super) fn is_idempotent(&self) -> bool {
+        match self {
+            Self::Call(call) => call.idempotent,
+            Self::HealthCheck => true,
+        }
+    }
+
     /// The id of the message in the request; `None` for a health check.
     pub(super) fn message_id(&self) -> Option<&MessageId> {
         match self {
--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -10,9 +10,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::Outbound;
+use super::connection::Connection;
 use super::routes::Route;
 use crate::event::{Call, CallOutcome, Input};
 use crate::metrics::Metrics;
@@ -21,6 +22,7 @@
 mod idle_connections;
 mod interrupted;
 mod outcomes;
+mod repeated_responses;
 mod responses;
 mod withheld;
 
@@ -71,6 +73,7 @@
         message_id: "m1".into(),
         idempotency_key: None,
         body: Bytes::from_static(b"text"),
+        idempotent: false,
         response_deadline: deadline,
         write_deadline: deadline,
     }
@@ -126,6 +129,12 @@
     stream
 }
 
+/// Takes the idle connection once it may be used.
+async fn take_idle_connection(outbound: &Outbound) -> Connection {
+    sleep_until(outbound.idle.next_usable_at(ROUTE, true).expect("an idle connection")).await;
+    outbound.idle.take(ROUTE, true).expect("a connection that may be used")
+}
+
 /// Length of a body that is only partly written to a connection of [`listener_with_small_buffers`] that is not read.
 const LARGE_BODY_LEN: usize = 60_000;
 
--- a/crates/sender/src/outbound/tests/idle_connections.rs
+++ b/crates/sender/src/outbound/tests/idle_connections.rs
@@ -7,7 +7,9 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout};
 
-use super::{ROUTE, call, complete_call, next_call_outcome, next_input, respond, route, set_up};
+use super::{
+    ROUTE, call, complete_call, next_call_outcome, next_input, respond, route, set_up, take_idle_connection,
+};
 
 /// The receiver may be about to close a connection that has been idle for nearly its idle timeout.
 #[tokio::test]
@@ -15,7 +17,7 @@
     let test = async {
         let (outbound, listener, mut inputs) = set_up().await;
         let _stream = complete_call(&outbound, &listener, &mut inputs, call()).await;
-        let connection = outbound.idle.take(ROUTE).expect("an idle connection");
+        let connection = take_idle_connection(&outbound).await;
         let max_idle_time = outbound.idle.max_idle_time();
         let close_to_timeout = Instant::now() + Duration::from_secs(13);
         assert!(
@@ -74,7 +76,7 @@
     let test = async {
         let (outbound, listener, mut inputs) = set_up().await;
         let _stream = complete_call(&outbound, &listener, &mut inputs, call()).await;
-        let connection = outbound.idle.take(ROUTE).expect("an idle connection");
+        let connection = take_idle_connection(&outbound).await;
         assert!(
             connection
                 .socket
--- a/crates/sender/src/outbound/tests/interrupted.rs
+++ b/crates/sender/src/outbound/tests/interrupted.rs
@@ -15,7 +15,7 @@
 use super::super::Outbound;
 use super::{
     LARGE_BODY_LEN, ROUTE, call, complete_call, listener_with_small_buffers, next_call_outcome, read_to_end,
-    respond, route, set_up, set_up_with,
+    respond, route, set_up, set_up_with, take_idle_connection,
 };
 use crate::event::{Call, Input};
 
@@ -107,7 +107,7 @@
         let (outbound, listener, mut inputs) = set_up().await;
         let keyed_retry = Call { idempotency_key: Some(Bytes::from_static(b"k")), attempt: 1, ..call() };
         let _stream = complete_call(&outbound, &listener, &mut inputs, keyed_retry).await;
-        let connection = outbound.idle.take(ROUTE).expect("an idle connection");
+        let connection = take_idle_connection(&outbound).await;
         let socket = connection.socket.upgrade().expect("an open socket");
         let limit = SockRef::from(&*socket.borrow()).tcp_user_timeout().expect("read the socket option");
         assert_eq!(limit, None);
