--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -133,13 +133,6 @@
         self.latest_attempt
     }
 
-    /// Ids of messages of an earlier process that are complete and may have been executed, and whose deadline has not passed.
-    /// Compaction deletes the records of complete messages, so the ids of the oldest ones may be missing. Each id is returned
-    /// once, because the journal does not keep it.
-    pub fn take_possibly_executed(&mut self) -> Vec<MessageId> {
-        std::mem::take(&mut self.possibly_executed)
-    }
-
     /// Whether a message, or its notification, is pending.
     pub fn contains(&self, message_id: &MessageId) -> bool {
         self.entries.contains(message_id)
--- a/crates/journal/src/store/takeover.rs
+++ b/crates/journal/src/store/takeover.rs
@@ -1,9 +1,9 @@
 //! Takeover: the owner shares the disk budget with its successor, which then becomes the owner.
 
-use crate::JournalError;
 use crate::message::TakenOver;
 use crate::replay::{ReplayedState, replay_segments};
 use crate::segments::{SEGMENT_SIZE, segment_numbers};
+use crate::{JournalError, MessageId};
 
 use super::{COMPACTION_FREE_SPACE, Store, UNRESERVABLE_SPACE};
 
@@ -42,6 +42,13 @@
         Ok(Some(taken_over))
     }
 
+    /// Ids of messages of an earlier process that are complete and may have been executed, and whose deadline has not passed.
+    /// Compaction deletes the records of complete messages, so the ids of the oldest ones may be missing. Each id is returned
+    /// once, because the journal does not keep it.
+    pub fn take_possibly_executed(&mut self) -> Vec<MessageId> {
+        std::mem::take(&mut self.possibly_executed)
+    }
+
     /// Limits this process to its part of the disk budget while it has a successor: half, or as much as its pending entries
     /// and compaction need if that is more. A later call lowers a part above half once fewer entries are pending. Without a
     /// successor, this process uses the whole budget.
--- a/crates/sender/src/outbound.rs
+++ b/crates/sender/src/outbound.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod connection;
+mod connection_acquisition;
 mod exchange;
 mod outcome;
 mod pool;
--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -10,6 +10,7 @@
 
 use super::Outbound;
 use super::connection::Connection;
+use super::connection_acquisition::AcquiredConnection;
 use super::outcome::{
     Interruption, RequestProgress, ResponseProgress, call_outcome_of_response, outcome_without_response,
 };
@@ -24,10 +25,10 @@
 /// A call or a health check, with its deadlines and its cancellation.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Exchange<'a> {
-    route: RouteId,
-    request: OutgoingRequest<'a>,
-    deadlines: RequestDeadlines,
-    cancelled: &'a Notify,
+    pub(super) route: RouteId,
+    pub(super) request: OutgoingRequest<'a>,
+    pub(super) deadlines: RequestDeadlines,
+    pub(super) cancelled: &'a Notify,
 }
 
 /// The outcome of an exchange, with its connection.
@@ -38,14 +39,6 @@
     pub(super) used_connection: Option<UsedConnection>,
 }
 
-/// The connection that a request is sent over.
-#[derive(Debug)]
-struct AcquiredConnection {
-    connection: Connection,
-    /// Whether the connection is from the pool. The receiver may have closed such a connection while it was idle.
-    reused: bool,
-}
-
 impl<'a> Exchange<'a> {
     /// A call that ends early when `cancelled` is notified.
     pub(super) fn call(call: &'a Call, cancelled: &'a Notify) -> Self {
@@ -93,49 +86,6 @@
         }
     }
 
-    /// Takes an idle connection, if necessary once it has been idle long enough, or opens one.
-    ///
-    /// # Errors
-    ///
-    /// The outcome of the exchange if no connection is available.
-    async fn acquire_connection(
-        &self,
-        exchange: &Exchange<'_>,
-        target: Target,
-    ) -> Result<AcquiredConnection, Outcome> {
-        let RequestDeadlines { response_deadline, write_deadline, .. } = exchange.deadlines;
-        let latest_use = response_deadline.min(write_deadline);
-        loop {
-            if let Some(connection) = self.idle.take(exchange.route, exchange.request.is_idempotent()) {
-                return Ok(AcquiredConnection { connection, reused: true });
-            }
-            // Waiting for a connection costs the receiver less than a new one.
-            let usable_at = self.idle.next_usable_at(exchange.route, exchange.request.is_idempotent());
-            let Some(usable_at) = usable_at.filter(|&usable_at| usable_at < latest_use) else { break };
-            tokio::select! {
-                biased;
-                () = exchange.cancelled.notified() => return Err(Outcome::NotSent),
-                () = sleep_until(usable_at) => {}
-            }
-        }
-        let connected = tokio::select! {
-            biased;
-            () = exchange.cancelled.notified() => Err(Interruption::Cancelled),
-            connected = self.connect(target.addr, latest_use) => connected,
-        };
-        match connected {
-            Ok(connection) => Ok(AcquiredConnection { connection, reused: false }),
-            // This does not count as a failure of the receiver, because the time until the write deadline may have been
-            // too short for the connection to open.
-            Err(_) if Instant::now() >= write_deadline => Err(Outcome::NotSent),
-            Err(interruption) => Err(outcome_without_response(
-                RequestProgress::NotStarted,
-                ResponseProgress::Nothing,
-                interruption,
-            )),
-        }
-    }
-
     /// Builds the request; `None` if it must no longer be sent, because since the engine started the call the receiver
     /// has begun to drain or has requested a backoff, or a deadline has passed.
     fn prepare(&self, exchange: &Exchange<'_>, target: Target) -> Option<PreparedRequest> {
