A different message with the id of a known message is refused with 503

What callers saw: a client whose request was still arriving was told 202, but its body was never sent and no notification came.

Cause: immediate_response answered a submission on its id alone, for tracked messages and for those completed a short time ago. Fix: class, tenant, destination, idempotency key and body are compared, with the tracked message or with a 128-bit hash kept for a completed one.

--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -17,6 +17,7 @@
 mod endpoint_table;
 mod endpoints;
 mod intake;
+mod message_content;
 mod outage_records;
 mod recovery;
 mod shutdown;
--- a/crates/sender/src/engine/attempts.rs
+++ b/crates/sender/src/engine/attempts.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::Engine;
-use super::completed_messages::Completion;
+use super::completed_messages::{CompletedMessage, Completion};
 use super::time::from_millis;
 use crate::event::{Call, CallOutcome, MESSAGE_LOG};
 use crate::metrics::FinalOutcome;
@@ -109,7 +109,8 @@
                     self.io.metrics.count_outcome(message.class, FinalOutcome::Delivered);
                 }
                 let completion = if delivered { Completion::Delivered } else { Completion::PossiblyExecuted };
-                self.completed_messages.insert(now, message.message_id.clone(), completion);
+                let completed = CompletedMessage::new(completion, message);
+                self.completed_messages.insert(now, message.message_id.clone(), completed);
                 self.tracked_messages.remove(id);
             } else {
                 self.store.finish_attempt(&message.message_id, attempt, outcome.possibly_executed());
--- a/crates/sender/src/engine/commit.rs
+++ b/crates/sender/src/engine/commit.rs
@@ -20,7 +20,7 @@
 
 use super::Engine;
 use super::attempts::AttemptRequest;
-use super::completed_messages::Completion;
+use super::completed_messages::{CompletedMessage, Completion};
 use super::intake::{Intake, NewSubmission, PendingResponse};
 use super::outage_records::record_outage;
 use super::time::from_millis;
@@ -99,7 +99,8 @@
             tracing::debug!(target: MESSAGE_LOG, message_id = &*message.message_id, ?status, "completed");
             self.store.complete(&message.message_id, Some(status));
             if status == Status::Undeliverable {
-                self.completed_messages.insert(now, message.message_id.clone(), Completion::PossiblyExecuted);
+                let completed = CompletedMessage::new(Completion::PossiblyExecuted, &message);
+                self.completed_messages.insert(now, message.message_id.clone(), completed);
             }
             self.io.metrics.count_outcome(message.class, status.into());
             effects.notifications.push(PendingNotification { message_id: message.message_id, status });
--- a/crates/sender/src/engine/completed_messages.rs
+++ b/crates/sender/src/engine/completed_messages.rs
@@ -9,6 +9,9 @@
 use rudderspindle_journal::MessageId;
 use tokio::time::Instant;
 
+use super::message_content::{ContentHash, MessageContent};
+use super::tracked_messages::TrackedMessage;
+
 /// Maximum number of ids. Beyond it the oldest ids are removed first.
 const MAX_COMPLETED_MESSAGES: usize = 16_384;
 
@@ -21,6 +24,30 @@
     PossiblyExecuted,
 }
 
+/// A message that was completed and may have been executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct CompletedMessage {
+    /// How the message was completed.
+    pub completion: Completion,
+    /// The hash of the message's content; `None` if the message was completed by an earlier process.
+    pub content: Option<ContentHash>,
+}
+
+impl CompletedMessage {
+    /// The entry of a message of this process.
+    pub fn new(completion: Completion, message: &TrackedMessage) -> Self {
+        Self { completion, content: Some(message.content().hash()) }
+    }
+
+    /// The entry of a message that an earlier process completed, of which only the id is known.
+    pub const RECOVERED: Self = Self { completion: Completion::PossiblyExecuted, content: None };
+
+    /// Whether a submission with this content cannot be of the completed message.
+    pub fn is_other_message(&self, content: MessageContent<'_>) -> bool {
+        self.content.is_some_and(|hash| hash != content.hash())
+    }
+}
+
 /// When an id is removed.
 #[derive(Debug)]
 struct Expiry {
@@ -32,7 +59,7 @@
 #[derive(Debug)]
 pub(super) struct CompletedMessages {
     retention: Duration,
-    by_message_id: HashMap<MessageId, Completion>,
+    by_message_id: HashMap<MessageId, CompletedMessage>,
     /// In the order in which the ids were added, which is the order of their expiry.
     expiries: VecDeque<Expiry>,
 }
@@ -43,20 +70,20 @@
         Self { retention, by_message_id: HashMap::new(), expiries: VecDeque::new() }
     }
 
-    /// Adds a message that is completed at `now`. If its id is known already, the earlier completion is kept.
-    pub fn insert(&mut self, now: Instant, message_id: MessageId, completion: Completion) {
+    /// Adds a message that is completed at `now`. If its id is known already, the earlier entry is kept.
+    pub fn insert(&mut self, now: Instant, message_id: MessageId, message: CompletedMessage) {
         if self.by_message_id.contains_key(&message_id) {
             return;
         }
-        self.by_message_id.insert(message_id.clone(), completion);
+        self.by_message_id.insert(message_id.clone(), message);
         self.expiries.push_back(Expiry { at: now + self.retention, message_id });
         if self.expiries.len() > MAX_COMPLETED_MESSAGES {
             self.remove_oldest();
         }
     }
 
-    /// The completion of the message with this id; `None` if it is unknown.
-    pub fn find(&self, message_id: &MessageId) -> Option<Completion> {
+    /// The completed message with this id; `None` if it is unknown.
+    pub fn find(&self, message_id: &MessageId) -> Option<CompletedMessage> {
         self.by_message_id.get(message_id).copied()
     }
 
--- a/crates/sender/src/engine/intake.rs
+++ b/crates/sender/src/engine/intake.rs
@@ -8,7 +8,8 @@
 use tokio::time::Instant;
 
 use super::Engine;
-use super::completed_messages::Completion;
+use super::completed_messages::{CompletedMessage, Completion};
+use super::message_content::MessageContent;
 use super::time::to_millis;
 use super::tracked_messages::{TrackedMessage, WithdrawnMessage};
 use crate::event::{Input, MESSAGE_LOG, Submission, SubmissionId, SubmissionResponse};
@@ -60,6 +61,8 @@
             return None;
         }
         if let Some(response) = self.immediate_response(&submission, intake) {
+            tracing::debug!(target: MESSAGE_LOG, message_id = &*submission.message_id, ?response,
+                "answered without a new message");
             self.respond(submission, response, intake);
             return None;
         }
@@ -103,27 +106,33 @@
             });
         }
         if let Some(id) = self.tracked_messages.find(&submission.message_id) {
-            // Each client that submits the message is counted, because otherwise any client that uses the same message
-            // id could withdraw the message by disconnecting.
-            let undecided = intake.new_submissions.iter().any(|new| new.id == id);
-            let added = !undecided && self.tracked_messages.add_submission(id, submission.id);
-            return Some(if added {
-                SubmissionResponse::Accepted
-            } else {
-                SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER
-            });
+            return Some(self.response_for_tracked(id, submission, intake));
         }
-        // The receiver has executed the message, or may have, so it must not be called with this id again.
-        match self.completed_messages.find(&submission.message_id) {
-            Some(Completion::Delivered) => return Some(SubmissionResponse::Accepted),
-            Some(Completion::PossiblyExecuted) => return Some(SubmissionResponse::Failed),
-            None => {}
+        if let Some(completed) = self.completed_messages.find(&submission.message_id) {
+            return Some(response_for_completed(completed, submission));
         }
         // The journal still contains a message whose notification is pending. The acknowledgement of that notification
         // must not complete a new message with the same id.
         self.store.contains(&submission.message_id).then_some(SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER)
     }
 
+    /// The response to a submission with the id of a tracked message. A different message with that id is refused,
+    /// because it would never be sent.
+    fn response_for_tracked(
+        &mut self,
+        id: MessageHandle,
+        submission: &Submission,
+        intake: &Intake,
+    ) -> SubmissionResponse {
+        let tracked = self.tracked_messages.get(id);
+        let is_same_message = tracked.is_some_and(|message| message.content() == content(submission));
+        let undecided = intake.new_submissions.iter().any(|new| new.id == id);
+        // Each client that submits the message is counted, because otherwise any client that uses the same message id
+        // could withdraw the message by disconnecting.
+        let added = is_same_message && !undecided && self.tracked_messages.add_submission(id, submission.id);
+        if added { SubmissionResponse::Accepted } else { SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER }
+    }
+
     /// The message of a submission, as written to the journal.
     fn journal_message(&self, submission: &Submission, now: Instant) -> journal::Message {
         let time_left = submission.deadline.saturating_duration_since(now);
@@ -163,6 +172,8 @@
         let id = self.track(TrackedMessage {
             message_id,
             class,
+            tenant,
+            destination,
             recovered: false,
             submissions: vec![submission_id],
             idempotency_key,
@@ -192,12 +203,36 @@
     /// Removes a submission whose client has disconnected. If no other client has submitted the message, completes the
     /// message and returns the event for the policy.
     pub(super) fn withdraw(&mut self, submission: SubmissionId, now: Instant) -> Option<Event> {
-        let WithdrawnMessage { handle, message_id, attempts } = self.tracked_messages.withdraw(submission)?;
-        tracing::debug!(target: MESSAGE_LOG, message_id = &*message_id, "withdrawn");
-        self.store.complete(&message_id, None);
-        if attempts > 0 {
-            self.completed_messages.insert(now, message_id, Completion::PossiblyExecuted);
+        let WithdrawnMessage { handle, message } = self.tracked_messages.withdraw(submission)?;
+        tracing::debug!(target: MESSAGE_LOG, message_id = &*message.message_id, "withdrawn");
+        self.store.complete(&message.message_id, None);
+        if message.attempts > 0 {
+            let completed = CompletedMessage::new(Completion::PossiblyExecuted, &message);
+            self.completed_messages.insert(now, message.message_id, completed);
         }
         Some(Event::ClientDisconnected(handle))
     }
 }
+
+/// The response to a submission with the id of a complete message that a receiver has executed, or may have. The receiver
+/// must not be called with this id again, so a different message is refused.
+fn response_for_completed(completed: CompletedMessage, submission: &Submission) -> SubmissionResponse {
+    if completed.is_other_message(content(submission)) {
+        return SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER;
+    }
+    match completed.completion {
+        Completion::Delivered => SubmissionResponse::Accepted,
+        Completion::PossiblyExecuted => SubmissionResponse::Failed,
+    }
+}
+
+/// The content of a submission's message.
+fn content(submission: &Submission) -> MessageContent<'_> {
+    MessageContent {
+        class: submission.class,
+        tenant: submission.tenant,
+        destination: submission.destination,
+        idempotency_key: submission.idempotency_key.as_ref(),
+        body: &submission.body,
+    }
+}
--- /dev/null
+++ b/crates/sender/src/engine/message_content.rs
@@ -0,0 +1,37 @@
+//! What a message contains besides its id and its deadline.
+//!
+//! A client chooses the id of its message, so another client may submit a different message with the same id. Two
+//! submissions are of the same message only if their contents are equal too.
+
+use bytes::Bytes;
+use rudderspindle_policy::interface::DestinationId;
+use siphasher::sip128::{Hash128, Hasher128, SipHasher13};
+use std::hash::Hash;
+
+/// The content of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct MessageContent<'a> {
+    /// Index of the class in the settings.
+    pub class: usize,
+    /// Index of the tenant in the settings.
+    pub tenant: usize,
+    /// The destination of the message.
+    pub destination: DestinationId,
+    /// The idempotency key, if the client gave one.
+    pub idempotency_key: Option<&'a Bytes>,
+    /// The message's payload.
+    pub body: &'a Bytes,
+}
+
+/// A hash of a message's content, which is kept in place of the content once the message is complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ContentHash(Hash128);
+
+impl MessageContent<'_> {
+    /// The hash of the content.
+    pub fn hash(&self) -> ContentHash {
+        let mut hasher = SipHasher13::new();
+        Hash::hash(self, &mut hasher);
+        ContentHash(hasher.finish128())
+    }
+}
--- a/crates/sender/src/engine/recovery.rs
+++ b/crates/sender/src/engine/recovery.rs
@@ -15,7 +15,7 @@
 
 use super::Engine;
 use super::backlog::{RecoveredExecution, RecoveredMessage};
-use super::completed_messages::Completion;
+use super::completed_messages::CompletedMessage;
 use super::time::to_millis;
 use super::tracked_messages::TrackedMessage;
 use crate::event::MESSAGE_LOG;
@@ -58,7 +58,7 @@
             self.io.notifications.push(notification);
         }
         for message_id in self.store.take_possibly_executed() {
-            self.completed_messages.insert(now, message_id, Completion::PossiblyExecuted);
+            self.completed_messages.insert(now, message_id, CompletedMessage::RECOVERED);
         }
         let wall_now = UnixMillis::now();
         let time = RecoveryTime { now, wall_now, clock_set_back: self.store.latest_attempt() > wall_now };
@@ -163,10 +163,14 @@
             PriorExecution { ago: execution.ago + time_since_read, ..execution }
         });
         let tenant_index = self.names.tenants.iter().position(|name| **name == *journal_message.tenant);
+        let tenant = tenant_index.unwrap_or(usize::MAX);
+        let destination = DestinationId(journal_message.destination);
         let attempts = journal_message.attempts;
         let id = self.track(TrackedMessage {
             message_id: journal_message.message_id,
             class,
+            tenant,
+            destination,
             recovered: true,
             submissions: Vec::new(),
             idempotency_key: journal_message.idempotency_key,
@@ -175,15 +179,8 @@
             attempts,
             called_receiver: None,
         });
-        let message = Message {
-            id,
-            class,
-            tenant: tenant_index.unwrap_or(usize::MAX),
-            ordering_key: 0,
-            time_left,
-            work_estimate: None,
-            destination: DestinationId(journal_message.destination),
-        };
+        let message =
+            Message { id, class, tenant, ordering_key: 0, time_left, work_estimate: None, destination };
         Event::Recovered(message, AttemptHistory { attempts, possibly_executed })
     }
 }
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -20,6 +20,7 @@
 mod cancels;
 mod deadline;
 mod resubmission;
+mod reused_id;
 mod shutdown;
 
 /// An engine with one receiver for destination 7, and the channel of its inputs.
--- a/crates/sender/src/engine/tracked_messages.rs
+++ b/crates/sender/src/engine/tracked_messages.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use rudderspindle_gossip::ReceiverId;
 use rudderspindle_journal::MessageId;
-use rudderspindle_policy::interface::MessageHandle;
+use rudderspindle_policy::interface::{DestinationId, MessageHandle};
 use tokio::time::Instant;
 
+use super::message_content::MessageContent;
 use crate::event::SubmissionId;
 
 /// Maximum number of clients that may submit the same message; submissions of further clients are refused.
@@ -20,6 +21,10 @@
     pub message_id: MessageId,
     /// Index of the message's class in the settings.
     pub class: usize,
+    /// Index of the message's tenant in the settings; `usize::MAX` if the settings no longer have the tenant.
+    pub tenant: usize,
+    /// The message's destination.
+    pub destination: DestinationId,
     /// Whether an earlier process accepted the message and responded to its client.
     pub recovered: bool,
     /// The message's submissions, without those whose client disconnected before the response. While a submission
@@ -44,13 +49,22 @@
 pub(super) struct WithdrawnMessage {
     /// The handle that the message had.
     pub handle: MessageHandle,
-    /// The id that the client gave the message.
-    pub message_id: MessageId,
-    /// Number of attempts that were started.
-    pub attempts: u32,
+    /// The message.
+    pub message: TrackedMessage,
 }
 
 impl TrackedMessage {
+    /// The message's content.
+    pub fn content(&self) -> MessageContent<'_> {
+        MessageContent {
+            class: self.class,
+            tenant: self.tenant,
+            destination: self.destination,
+            idempotency_key: self.idempotency_key.as_ref(),
+            body: &self.body,
+        }
+    }
+
     /// Number of clients that may have received the response that the message is accepted.
     fn client_count(&self) -> usize {
         self.submissions.len() + usize::from(self.recovered)
@@ -137,8 +151,8 @@
         if message.client_count() > 0 {
             return None;
         }
-        let TrackedMessage { message_id, attempts, .. } = self.remove(handle)?;
-        Some(WithdrawnMessage { handle, message_id, attempts })
+        let message = self.remove(handle)?;
+        Some(WithdrawnMessage { handle, message })
     }
 
     /// Stops tracking a message.
--- a/crates/sender/src/engine/tracked_messages/tests.rs
+++ b/crates/sender/src/engine/tracked_messages/tests.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use rudderspindle_policy::interface::MessageHandle;
+use rudderspindle_policy::interface::{DestinationId, MessageHandle};
 use tokio::time::Instant;
 
 use super::{MAX_CLIENTS_PER_MESSAGE, TrackedMessage, TrackedMessages};
@@ -12,6 +12,8 @@
     TrackedMessage {
         message_id: message_id.into(),
         class: 0,
+        tenant: 0,
+        destination: DestinationId(7),
         recovered,
         submissions,
         idempotency_key: None,
