A response is acknowledged at once, so that a held-back copy arrives before the next request

What callers saw: messages that were told 202 were neither delivered nor ended, and ids ran twice, before receivers that write some responses twice and do not set TCP_NODELAY.

Cause: the copy is a second small write, which Nagle's algorithm holds back until the response is acknowledged. The system delayed the acknowledgement and sent it with the next request, so the copy arrived behind that request however long the connection had rested.

Fix: mark_idle sets TCP_QUICKACK, which sends the acknowledgement; the copy arrives while the connection is idle, and the connection is closed.

The new test failed on the code before (left Ok, right Rejected) and passes now.

--- a/crates/sender/src/outbound/connection.rs
+++ b/crates/sender/src/outbound/connection.rs
@@ -88,10 +88,20 @@
 
     /// Marks the connection as idle, so that dropping it sends no reset.
     pub(super) fn mark_idle(&mut self) {
+        self.acknowledge_received();
         self.is_idle = true;
         self.idle_since = Instant::now();
     }
 
+    /// Makes the system acknowledge the received bytes now. A receiver's system may hold back the copy of a response
+    /// until the response is acknowledged (Nagle's algorithm). If this system delayed the acknowledgement until the next
+    /// request, the copy would arrive after that request.
+    fn acknowledge_received(&self) {
+        if let Some(socket) = self.socket.upgrade() {
+            let _ = SockRef::from(&*socket.borrow()).set_tcp_quickack(true);
+        }
+    }
+
     /// Marks the connection as in use, so that dropping it sends a reset.
     pub(super) fn mark_in_use(&mut self) {
         self.is_idle = false;
--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 
 mod deadline;
+mod delayed_copies;
 mod idle_connections;
 mod interrupted;
 mod outcomes;
