A connection rests longer on a longer path, so that a late copy is not the next response

What callers saw: messages that were told 202 were neither delivered nor ended.

Cause: a connection was used again 25 ms after a response, whatever its path. With 85 to 135 ms in each direction a copy arrives up to 60 ms behind its response. The bytes of a response do not say to which request it belongs, so only time can: the rest is now 25 ms and half of the connection's shortest response time, which is at least the shortest delay of one direction; 125 ms at most. A call waits for a resting connection no longer than before (25 ms), and opens another one then.

--- a/crates/sender/src/outbound/connection.rs
+++ b/crates/sender/src/outbound/connection.rs
@@ -19,10 +19,13 @@
 use super::outcome::Interruption;
 use crate::write_progress::{MAX_BUFFER, TrackedStream, WriteProgress};
 
-/// How long a connection must have been idle before the next request is written to it. A receiver may write a second copy
-/// of a response behind it. A copy that arrives after the next request is written cannot be told from the response to that
-/// request; one that arrives before closes the connection.
+/// How long a connection must have been idle before the next request is written to it, on a path without delay. A
+/// receiver may write a second copy of a response behind it. A copy that arrives after the next request is written cannot
+/// be told from the response to that request; one that arrives before closes the connection.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(25);
+/// Maximum time that is added to [`MIN_IDLE_TIME`] for the delay of the path, so that receivers with long response times
+/// do not need many more connections.
+const MAX_DELAY_VARIATION: Duration = Duration::from_millis(125);
 /// Minimum TCP user timeout that is set, because the system interprets 0 as its default.
 const MIN_USER_TIMEOUT: Duration = Duration::from_millis(1);
 
@@ -39,6 +42,8 @@
     task: JoinHandle<()>,
     idle_since: Instant,
     is_idle: bool,
+    /// The shortest response time so far; an upper bound of the round-trip time. `None` before the first response.
+    min_response_time: Option<Duration>,
     /// The outcome of the last response, unless it was a success. The same outcome of the next response may come from a
     /// copy of the last one.
     unsuccessful_outcome: Option<Outcome>,
@@ -71,6 +76,7 @@
             task,
             idle_since: Instant::now(),
             is_idle: false,
+            min_response_time: None,
             unsuccessful_outcome: None,
             has_user_timeout: false,
         })
@@ -89,6 +95,8 @@
     /// Marks the connection as idle, so that dropping it sends no reset.
     pub(super) fn mark_idle(&mut self) {
         self.acknowledge_received();
+        let response_time = self.write_progress.response_time();
+        self.min_response_time = self.min_response_time.into_iter().chain(response_time).min();
         self.is_idle = true;
         self.idle_since = Instant::now();
     }
@@ -123,7 +131,14 @@
 
     /// When the next request may be written to the connection, which must be idle.
     pub(super) fn usable_at(&self) -> Instant {
-        self.idle_since + MIN_IDLE_TIME
+        self.idle_since + MIN_IDLE_TIME + self.delay_variation()
+    }
+
+    /// By how much longer a copy may take on its way than the response before it: at most the delay of one direction,
+    /// which is half of the round-trip time.
+    fn delay_variation(&self) -> Duration {
+        let round_trip_time = self.min_response_time.unwrap_or_default();
+        (round_trip_time / 2).min(MAX_DELAY_VARIATION)
     }
 
     /// Whether the connection is open and has been idle for less than `max_idle_time`.
--- a/crates/sender/src/outbound/connection_acquisition.rs
+++ b/crates/sender/src/outbound/connection_acquisition.rs
@@ -1,5 +1,7 @@
 //! Acquires the connection that a request is sent over: an idle one, or a new one.
 
+use std::time::Duration;
+
 use rudderspindle_policy::interface::Outcome;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -10,6 +12,9 @@
 use super::request::RequestDeadlines;
 use super::routes::Target;
 
+/// How long a call waits for an idle connection that may not be used yet; beyond that, a new connection is opened.
+const MAX_WAIT_FOR_IDLE: Duration = Duration::from_millis(25);
+
 /// The connection that a request is sent over.
 #[derive(Debug)]
 pub(super) struct AcquiredConnection {
@@ -56,8 +61,10 @@
             )),
         }
     }
-    /// Waits for an idle connection that may be used before `latest_use`; `None` if there will be none. The calls of a
-    /// route wait in the order in which they start, so that no call waits while later ones take the connections.
+
+    /// Waits for an idle connection that may be used before `latest_use` and within [`MAX_WAIT_FOR_IDLE`]; `None` if
+    /// there will be none. The calls of a route wait in the order in which they start, so that no call waits while later
+    /// ones take the connections.
     async fn idle_connection(&self, exchange: &Exchange<'_>, latest_use: Instant) -> Option<Connection> {
         let (route, idempotent) = (exchange.route, exchange.request.is_idempotent());
         let turn = self.idle.turn(route);
@@ -66,9 +73,9 @@
             if let Some(connection) = self.idle.take(route, idempotent) {
                 return Some(connection);
             }
-            // Waiting for a connection costs the receiver less than a new one.
+            // A short wait costs less than a new connection.
             let usable_at = self.idle.next_usable_at(route, idempotent)?;
-            if usable_at >= latest_use {
+            if usable_at >= latest_use || usable_at > Instant::now() + MAX_WAIT_FOR_IDLE {
                 return None;
             }
             sleep_until(usable_at).await;
--- a/crates/sender/src/outbound/tests.rs
+++ b/crates/sender/src/outbound/tests.rs
@@ -20,6 +20,7 @@
 
 mod deadline;
 mod delayed_copies;
+mod distant_receivers;
 mod idle_connections;
 mod interrupted;
 mod outcomes;
--- a/crates/sender/src/write_progress.rs
+++ b/crates/sender/src/write_progress.rs
@@ -23,8 +23,8 @@
 pub(crate) struct WriteProgress {
     /// Number of bytes of the current message that were written.
     bytes_written: Cell<u64>,
-    /// Whether the last byte of the current message was written.
-    write_complete: Cell<bool>,
+    /// When the last byte of the current message was written.
+    write_completed_at: Cell<Option<Instant>>,
     /// When the first byte of the message being received arrived, not counting interim (1xx) responses.
     first_byte_received_at: Cell<Option<Instant>>,
     /// The head of the current response; `None` on a connection from a client.
@@ -44,7 +44,7 @@
     /// Starts tracking the next message in both directions.
     pub(crate) fn reset(&self) {
         self.bytes_written.set(0);
-        self.write_complete.set(false);
+        self.write_completed_at.set(None);
         self.metrics_when_complete.borrow_mut().take();
         self.reset_received();
     }
@@ -69,7 +69,13 @@
 
     /// Whether the last byte of the current message has been written.
     pub(crate) fn write_complete(&self) -> bool {
-        self.write_complete.get()
+        self.write_completed_at.get().is_some()
+    }
+
+    /// Time from the last byte written to the first byte received of the response; `None` if either is missing or the
+    /// response came first.
+    pub(crate) fn response_time(&self) -> Option<Duration> {
+        self.first_byte_received_at()?.checked_duration_since(self.write_completed_at.get()?)
     }
 
     /// When the first byte of the message being received arrived; `None` before that.
@@ -111,7 +117,9 @@
     }
 
     fn record_write_complete(&self) {
-        self.write_complete.set(true);
+        if !self.write_complete() {
+            self.write_completed_at.set(Some(Instant::now()));
+        }
         if let Some(metrics) = self.metrics_when_complete.borrow_mut().take() {
             metrics.call_written();
         }
