The copy of a response that is read together with the next response is dropped

What callers saw: a message counted as delivered although its call was rejected, when the copy of an earlier 200 arrived after the next request.

Cause: the first response after a request was taken for the response to it, though a second one lay behind it in the same bytes. Noise behind a response changes nothing.

--- a/crates/sender/src/write_progress.rs
+++ b/crates/sender/src/write_progress.rs
@@ -1,6 +1,7 @@
 //! Tracks how much of an HTTP message was written to a connection and what was received in return. This determines
 //! whether the receiver may have executed a request.
 
+mod repeated_response;
 mod response_head;
 mod tracked_stream;
 
@@ -12,6 +13,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::metrics::Metrics;
+use repeated_response::RepeatedResponse;
 use response_head::ResponseHead;
 pub(crate) use tracked_stream::{SharedSocket, TrackedStream};
 
@@ -29,6 +31,8 @@
     first_byte_received_at: Cell<Option<Instant>>,
     /// The head of the current response; `None` on a connection from a client.
     response_head: Option<RefCell<ResponseHead>>,
+    /// The response before the current one, of which a copy may be received; see [`RepeatedResponse`].
+    repeated_response: RefCell<RepeatedResponse>,
     /// The metrics that count the message once its last byte is written; `None` after that, or if it is not counted.
     metrics_when_complete: RefCell<Option<Rc<Metrics>>>,
     /// Notified whenever bytes are received.
@@ -46,6 +50,9 @@
         self.bytes_written.set(0);
         self.write_completed_at.set(None);
         self.metrics_when_complete.borrow_mut().take();
+        if let Some(head) = &self.response_head {
+            *self.repeated_response.borrow_mut() = RepeatedResponse::of(&head.borrow());
+        }
         self.reset_received();
     }
 
@@ -125,6 +132,14 @@
         }
     }
 
+    /// The received `bytes` without a copy of the response before the current one.
+    fn without_repeated_response<'a>(&self, bytes: &'a [u8]) -> &'a [u8] {
+        if !self.write_complete() || self.first_byte_received_at().is_some() {
+            return bytes;
+        }
+        self.repeated_response.borrow().strip_from(bytes)
+    }
+
     fn record_received(&self, bytes: &[u8]) {
         if bytes.is_empty() {
             return;
--- a/crates/sender/src/write_progress/response_head.rs
+++ b/crates/sender/src/write_progress/response_head.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// The whole response with its body; `None` if it may be longer than [`MAX_BUFFERED_HEAD`].
+    pub(super) fn whole_response(&self) -> Option<&[u8]> {
+        (self.buffered.len() < MAX_BUFFERED_HEAD).then_some(&self.buffered)
+    }
+
     /// Whether a byte of the final response has been received: the buffer does not begin with an interim response.
     pub(super) fn has_final_response(&self) -> bool {
         !self.buffered.is_empty() && !self.buffered.starts_with(INTERIM_STATUS)
--- a/crates/sender/src/write_progress/tracked_stream.rs
+++ b/crates/sender/src/write_progress/tracked_stream.rs
@@ -65,8 +65,9 @@
         let capacity = target.remaining().min(READ_CHUNK_SIZE);
         let mut chunk = ReadBuf::new(&mut bytes[..capacity]);
         ready!(Pin::new(&mut *self.socket.borrow_mut()).poll_read(context, &mut chunk))?;
-        target.put_slice(chunk.filled());
-        self.progress.record_received(chunk.filled());
+        let received = self.progress.without_repeated_response(chunk.filled());
+        target.put_slice(received);
+        self.progress.record_received(received);
         Poll::Ready(Ok(()))
     }
 }
