Two processes of a sender claim the ids of new messages from each other

What callers saw: during an upgrade a message got a second copy while the first call was out.

Cause: ids were known to one process only; the handover carries none, and a successor reads none of the owner's segments. Fix: while both accept messages, a process claims the id of a new message from the other one first.

The handover has a version 2 for this. Processes of version 1 are served as before, in both roles. The tests that sent a handshake of version 2 as an unknown one send version 3 now; the fake owner expects the handshake of version 2. They check as much as before.

Evidence: an_id_in_flight_at_the_old_process_is_not_accepted_by_the_new_one failed on the commit before (left 202, right 503) and passes. The package's tests and those of upgrades, restarts, handover and takeover pass.

--- a/crates/daemon/tests/handover.rs
+++ b/crates/daemon/tests/handover.rs
@@ -79,7 +79,7 @@
         let mut stream = BufReader::new(stream);
         let mut hello = String::new();
         with_timeout("a line", stream.read_line(&mut hello)).await.expect("readable");
-        assert_eq!(hello, "{\"hello\":1}\n");
+        assert_eq!(hello, "{\"hello\":2}\n");
         let mut messages: String = lines()[..sent].iter().map(|line| format!("{line}\n")).collect();
         messages.extend(lines().get(sent).map(|line| line[..line.len() / 2].to_owned()));
         stream.write_all(messages.as_bytes()).await.expect("writable");
@@ -109,7 +109,7 @@
     let mut rogues = Vec::new();
     let long = vec![b'x'; 5_000];
     for bytes in
-        [&b""[..], b"{\"hello\":", b"nonsense\n", b"{\"hello\":2}\n", b"\"room\"\n", b"\n", &long, b""]
+        [&b""[..], b"{\"hello\":", b"nonsense\n", b"{\"hello\":3}\n", b"\"room\"\n", b"\n", &long, b""]
     {
         let mut rogue = UnixStream::connect(socket(&folder.state)).await.expect("a connection");
         // It may be disconnected while it is still writing.
@@ -147,7 +147,7 @@
         if let Some(before) = before.replace(next) {
             // Later connections are read too: the previous one ends only now that the next one has sent its message.
             let mut stranger = UnixStream::connect(socket(&folder.state)).await.expect("a connection");
-            stranger.write_all(b"{\"hello\":2}\n").await.expect("writable");
+            stranger.write_all(b"{\"hello\":3}\n").await.expect("writable");
             old.wait_for_log_line("handover rejected: unexpected first message").await;
             drop(before);
         }
--- a/crates/daemon/tests/upgrade.rs
+++ b/crates/daemon/tests/upgrade.rs
@@ -73,6 +73,22 @@
     assert!(shared.site.receiver.has_no_calls());
 }
 
+/// Guards against a message that is sent twice at once: the new process accepted an id that the old one had in flight.
+#[tokio::test]
+async fn an_id_in_flight_at_the_old_process_is_not_accepted_by_the_new_one() {
+    let mut shared = SharedListener::new(&[ScriptedResponse::NoResponse]).await;
+    let mut old = shared.start().await;
+    assert_eq!(old.submit("safe", "m1", body()).await.status(), 202);
+    assert_eq!(shared.site.receiver.next_call().await.message_id, "m1");
+    let new = shared.start().await;
+    old.terminate().await;
+    old.wait_for_log_line("stopping").await;
+    assert_eq!(new.submit("safe", "m1", body()).await.status(), 503);
+    assert_eq!(new.submit("safe", "m2", body()).await.status(), 202);
+    assert_eq!(shared.site.receiver.next_call().await.message_id, "m2");
+    assert!(shared.site.receiver.has_no_calls());
+}
+
 /// The old process is killed while both serve; the new one gets no announcement of that.
 #[tokio::test]
 async fn a_kill_of_the_old_process_passes_its_pending_messages_to_the_new_one() {
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -11,11 +11,13 @@
 mod backlog;
 mod batch;
 mod calls_in_flight;
+mod claims;
 mod commit;
 mod completed_messages;
 mod dependencies;
 mod endpoint_table;
 mod endpoints;
+mod id_claims;
 mod intake;
 mod message_content;
 mod outage_records;
@@ -43,6 +45,7 @@
 use completed_messages::CompletedMessages;
 pub use dependencies::{EngineDependencies, EngineIo, LimitSharing, PolicyOptions};
 use endpoint_table::EndpointTable;
+use id_claims::IdClaims;
 pub use outage_records::restore_outages;
 use shutdown::{RemainingWork, Shutdown};
 use time::from_millis;
@@ -81,6 +84,8 @@
     tracked_messages: TrackedMessages,
     /// Messages whose ids must not be accepted again for a while.
     completed_messages: CompletedMessages,
+    /// Submissions whose message ids are claimed from the peer process.
+    id_claims: IdClaims,
     /// Recovered messages that wait for capacity in the policy.
     backlog: Backlog,
     endpoints: EndpointTable,
@@ -115,6 +120,7 @@
         let pending_notifications = engine.store.pending_notifications().collect();
         engine.recover(engine.policy_epoch, pending_messages, pending_notifications);
         engine.run_batch(Vec::new());
+        engine.announce_acceptance();
         Ok(engine)
     }
 
@@ -128,6 +134,7 @@
         // Clients may submit a message again until its deadline.
         let max_deadline = settings.classes.iter().map(|class| class.deadline).fold(0.0, Millis::max);
         let max_deadline = from_millis(max_deadline);
+        let id_claims = IdClaims::new(!store.is_owner() && io.peer_process.owner_answers_claims());
         Ok(Self {
             policy,
             policy_epoch: now,
@@ -145,6 +152,7 @@
             next_batch_events: Vec::new(),
             tracked_messages: TrackedMessages::default(),
             completed_messages: CompletedMessages::new(max_deadline),
+            id_claims,
             backlog: Backlog::default(),
             calls: CallsInFlight::default(),
             activity: ActivityLog::new(collect_activity),
@@ -200,7 +208,7 @@
             now + MAX_BATCH_INTERVAL
         };
         let due_times = self.timers.due_times().chain(self.backlog.deadlines());
-        let due_times = due_times.chain(journal_retry).chain(resume_sending);
+        let due_times = due_times.chain(journal_retry).chain(resume_sending).chain(self.id_claims.next_due());
         due_times.fold(latest, Instant::min)
     }
 
--- a/crates/sender/src/engine/batch.rs
+++ b/crates/sender/src/engine/batch.rs
@@ -20,6 +20,7 @@
         for input in inputs {
             self.handle_input(input, now, &mut intake, &mut events);
         }
+        self.refuse_overdue_claims(now, &mut intake);
         events.append(&mut self.next_batch_events);
         events.extend(self.take_from_backlog(now, intake.new_submissions.len()));
         events.extend(self.timers.take_due(now).into_iter().map(Event::Wake));
@@ -50,6 +51,11 @@
             Input::PeerProcessBackoff { destination, receiver, wait } => {
                 events.extend(self.apply_peer_process_backoff(destination, receiver.as_deref(), wait));
             }
+            Input::SuccessorAcceptsMessages => self.id_claims.peer_accepts_messages(),
+            Input::PeerProcessClaim(claim) => self.answer_claim(&claim),
+            Input::ClaimAnswered { number, answer } => {
+                events.extend(self.claim_answered(number, answer, now, intake).map(Event::Message));
+            }
             // Each call in flight uses one of the connection slots that both processes share.
             Input::PeerProcessCallsInFlight(calls) => self.policy.set_slots_used_by_peer(calls),
             Input::PeerProcessDiskSpace(bytes) => self.store.set_successor_part(bytes),
--- a/crates/sender/src/engine/completed_messages.rs
+++ b/crates/sender/src/engine/completed_messages.rs
@@ -9,8 +9,8 @@
 use rudderspindle_journal::MessageId;
 use tokio::time::Instant;
 
-use super::message_content::{ContentHash, MessageContent};
 use super::tracked_messages::TrackedMessage;
+use crate::event::ContentHash;
 
 /// Maximum number of ids. Beyond it the oldest ids are removed first.
 const MAX_COMPLETED_MESSAGES: usize = 16_384;
@@ -43,8 +43,8 @@
     pub const RECOVERED: Self = Self { completion: Completion::PossiblyExecuted, content: None };
 
     /// Whether a submission with this content cannot be of the completed message.
-    pub fn is_other_message(&self, content: MessageContent<'_>) -> bool {
-        self.content.is_some_and(|hash| hash != content.hash())
+    pub fn is_other_message(&self, content: ContentHash) -> bool {
+        self.content.is_some_and(|own| own != content)
     }
 }
 
--- a/crates/sender/src/engine/intake.rs
+++ b/crates/sender/src/engine/intake.rs
@@ -57,20 +57,42 @@
         now: Instant,
         intake: &mut Intake,
     ) -> Option<Message> {
-        if submission.response_sender.is_closed() {
+        let submission = self.answer_known(submission, intake)?;
+        if self.id_claims.is_required() {
+            self.claim_id(submission, now, intake);
             return None;
         }
-        if let Some(response) = self.immediate_response(&submission, intake) {
-            tracing::debug!(target: MESSAGE_LOG, message_id = &*submission.message_id, ?response,
-                "answered without a new message");
-            self.respond(submission, response, intake);
+        self.accept_new(submission, now, intake)
+    }
+
+    /// Like [`Engine::admit`] for a submission whose id the peer process has granted.
+    pub(super) fn admit_claimed(
+        &mut self,
+        submission: Submission,
+        now: Instant,
+        intake: &mut Intake,
+    ) -> Option<Message> {
+        let submission = self.answer_known(submission, intake)?;
+        self.accept_new(submission, now, intake)
+    }
+
+    /// Answers a submission without the policy if possible; returns any other submission whose client is connected.
+    fn answer_known(&mut self, submission: Submission, intake: &mut Intake) -> Option<Submission> {
+        if submission.response_sender.is_closed() {
             return None;
         }
+        let Some(response) = self.immediate_response(&submission, intake) else { return Some(submission) };
+        tracing::debug!(target: MESSAGE_LOG, message_id = &*submission.message_id, ?response,
+            "answered without a new message");
+        self.respond(submission, response, intake);
+        None
+    }
+
+    /// Adds the submission of a new message to `intake`, and returns its message, unless there is no capacity for it.
+    fn accept_new(&mut self, submission: Submission, now: Instant, intake: &mut Intake) -> Option<Message> {
         let journal_message = self.journal_message(&submission, now);
         let journal_bytes = intake.journal_bytes + journal_message.reserved_bytes();
-        if self.tracked_messages.len() >= self.settings.max_pending
-            || !self.store.has_space_for(journal_bytes)
-        {
+        if !self.has_message_capacity() || !self.store.has_space_for(journal_bytes) {
             self.respond(submission, SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER, intake);
             return None;
         }
@@ -82,8 +104,13 @@
         Some(self.track_new_message(submission, journal_message, now, intake))
     }
 
+    /// Whether one more message may be tracked or claimed.
+    pub(super) fn has_message_capacity(&self) -> bool {
+        self.tracked_messages.len() + self.id_claims.len() < self.settings.max_pending
+    }
+
     /// Adds the response to a submission to `intake`, and counts a refusal.
-    fn respond(&self, submission: Submission, response: SubmissionResponse, intake: &mut Intake) {
+    pub(super) fn respond(&self, submission: Submission, response: SubmissionResponse, intake: &mut Intake) {
         if matches!(response, SubmissionResponse::Refused { .. }) {
             self.io.metrics.count_outcome(submission.class, FinalOutcome::Rejected);
         }
@@ -113,7 +140,9 @@
         }
         // The journal still contains a message whose notification is pending. The acknowledgement of that notification
         // must not complete a new message with the same id.
-        self.store.contains(&submission.message_id).then_some(SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER)
+        let is_known =
+            self.store.contains(&submission.message_id) || self.id_claims.contains(&submission.message_id);
+        is_known.then_some(SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER)
     }
 
     /// The response to a submission with the id of a tracked message. A different message with that id is refused,
@@ -125,7 +154,8 @@
         intake: &Intake,
     ) -> SubmissionResponse {
         let tracked = self.tracked_messages.get(id);
-        let is_same_message = tracked.is_some_and(|message| message.content() == content(submission));
+        let is_same_message =
+            tracked.is_some_and(|message| message.content() == MessageContent::of(submission));
         let undecided = intake.new_submissions.iter().any(|new| new.id == id);
         // Each client that submits the message is counted, because otherwise any client that uses the same message id
         // could withdraw the message by disconnecting.
@@ -217,7 +247,7 @@
 /// The response to a submission with the id of a complete message that a receiver has executed, or may have. The receiver
 /// must not be called with this id again, so a different message is refused.
 fn response_for_completed(completed: CompletedMessage, submission: &Submission) -> SubmissionResponse {
-    if completed.is_other_message(content(submission)) {
+    if completed.is_other_message(MessageContent::of(submission).hash()) {
         return SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER;
     }
     match completed.completion {
@@ -225,14 +255,3 @@
         Completion::PossiblyExecuted => SubmissionResponse::Failed,
     }
 }
-
-/// The content of a submission's message.
-fn content(submission: &Submission) -> MessageContent<'_> {
-    MessageContent {
-        class: submission.class,
-        tenant: submission.tenant,
-        destination: submission.destination,
-        idempotency_key: submission.idempotency_key.as_ref(),
-        body: &submission.body,
-    }
-}
--- a/crates/sender/src/engine/message_content.rs
+++ b/crates/sender/src/engine/message_content.rs
@@ -3,10 +3,13 @@
 //! A client chooses the id of its message, so another client may submit a different message with the same id. Two
 //! submissions are of the same message only if their contents are equal too.
 
+use std::hash::Hash;
+
 use bytes::Bytes;
 use rudderspindle_policy::interface::DestinationId;
-use siphasher::sip128::{Hash128, Hasher128, SipHasher13};
-use std::hash::Hash;
+use siphasher::sip128::{Hasher128, SipHasher13};
+
+use crate::event::{ContentHash, Submission};
 
 /// The content of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -23,15 +26,23 @@
     pub body: &'a Bytes,
 }
 
-/// A hash of a message's content, which is kept in place of the content once the message is complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ContentHash(Hash128);
+impl<'a> MessageContent<'a> {
+    /// The content of a submission's message.
+    pub fn of(submission: &'a Submission) -> Self {
+        Self {
+            class: submission.class,
+            tenant: submission.tenant,
+            destination: submission.destination,
+            idempotency_key: submission.idempotency_key.as_ref(),
+            body: &submission.body,
+        }
+    }
 
-impl MessageContent<'_> {
     /// The hash of the content.
     pub fn hash(&self) -> ContentHash {
         let mut hasher = SipHasher13::new();
         Hash::hash(self, &mut hasher);
-        ContentHash(hasher.finish128())
+        let hash = hasher.finish128();
+        ContentHash { high: hash.h1, low: hash.h2 }
     }
 }
--- a/crates/sender/src/engine/takeover.rs
+++ b/crates/sender/src/engine/takeover.rs
@@ -55,6 +55,9 @@
         // lock shows that the process has ended.
         if self.store.is_owner() {
             self.share_disk(false);
+            self.end_claims();
+        } else {
+            self.id_claims.owner_disconnected();
         }
     }
 
@@ -108,6 +111,7 @@
                     "journal taken over"
                 );
                 self.recover(now, journal.pending_messages, journal.pending_notifications);
+                self.end_claims();
             }
             Err(error) => tracing::warn!(%error, "journal of the previous owner cannot be read yet"),
         }
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -18,6 +18,7 @@
 use crate::outbound::Outbound;
 
 mod cancels;
+mod claims;
 mod deadline;
 mod resubmission;
 mod reused_id;
--- a/crates/sender/src/event.rs
+++ b/crates/sender/src/event.rs
@@ -6,6 +6,7 @@
 //! Durations are in milliseconds ([`Millis`]), rates in events per second.
 
 mod activity;
+mod claims;
 mod delivery;
 mod endpoints;
 mod limits;
@@ -17,6 +18,7 @@
 
 pub(crate) use activity::MAX_CALL_RESULTS;
 pub use activity::{AcceptedMessages, ActivityReport, LimitDemand, ListedReceiver, ReceiverResult};
+pub use claims::{ClaimAnswer, ClaimNumber, ContentHash, IdClaim};
 pub use delivery::{Call, CallOutcome, Submission, SubmissionId, SubmissionResponse};
 pub use endpoints::{Endpoint, EndpointList};
 pub use limits::{PermitUpdate, TenantQuota};
@@ -73,6 +75,17 @@
     /// The number of calls that the peer process has in flight. Both processes share the connection slots of the
     /// sender.
     PeerProcessCallsInFlight(usize),
+    /// The successor accepts messages from now on.
+    SuccessorAcceptsMessages,
+    /// The peer process claims the id of a new message.
+    PeerProcessClaim(IdClaim),
+    /// The peer process has answered a claim of this process.
+    ClaimAnswered {
+        /// The claim.
+        number: ClaimNumber,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
     /// The part of the journal's disk budget that the owner leaves to this process, its successor, in bytes.
     PeerProcessDiskSpace(u64),
     /// Take over the journal if the process that owns it has ended. The response is whether this process owns the
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -3,6 +3,9 @@
 //!
 //! The transferred state (outages, Retry-After backoffs, calls in flight, disk space) is advisory: a successor
 //! that does not receive it starts without it. Accepted messages are transferred through the journal only.
+//!
+//! After the transfer both processes exchange their backoffs and calls in flight, and claim the ids of new messages from
+//! each other.
 
 mod codec;
 mod connection;
@@ -10,6 +13,7 @@
 mod owner;
 mod peer_process;
 mod successor;
+mod version;
 
 #[cfg(test)]
 mod golden;
@@ -23,8 +27,6 @@
 
 /// File name of the socket in the state folder.
 const SOCKET_NAME: &str = "handover";
-/// Protocol version of this program. A connection whose handshake has another version is closed without a response.
-const VERSION: u32 = 1;
 /// Timeout of the state transfer, after which a successor starts without the owner's state. Also the timeout of a
 /// handshake, of the disconnection of an earlier successor, and of each write.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/sender/src/handover/golden.rs
+++ b/crates/sender/src/handover/golden.rs
@@ -14,7 +14,7 @@
 use super::owner::accept_successor;
 use super::peer_process::PeerProcess;
 use super::successor::connect_to_owner;
-use crate::event::Input;
+use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, Input};
 
 const WRITTEN: &str = include_str!("../../tests/golden/handover.written.txt");
 const ACCEPTED: &str = include_str!("../../tests/golden/handover.accepted.json");
@@ -41,6 +41,12 @@
         receiver: receiver.map(str::to_owned),
         ms,
     };
+    let claim = |message_id: &str, high| HandoverMessage::ClaimId {
+        number: ClaimNumber(5),
+        message_id: message_id.to_owned(),
+        content: ContentHash { high, low: 7 },
+    };
+    let answer = |answer| HandoverMessage::AnswerClaim { number: ClaimNumber(5), answer };
     vec![
         HandoverMessage::Hello(1),
         HandoverMessage::Hello(u32::MAX),
@@ -57,6 +63,13 @@
         HandoverMessage::DiskSpace(0),
         HandoverMessage::DiskSpace(1_500_000),
         HandoverMessage::FreeSpace,
+        HandoverMessage::AcceptsMessages,
+        claim("m1", 0),
+        claim("a \"b\"", u64::MAX),
+        answer(ClaimAnswer::Granted),
+        answer(ClaimAnswer::Refused),
+        answer(ClaimAnswer::Delivered),
+        answer(ClaimAnswer::PossiblyExecuted),
     ]
 }
 
@@ -157,7 +170,7 @@
 #[tokio::test]
 async fn a_connection_without_a_handshake_of_this_version_is_rejected() {
     let test = async {
-        let other_messages = ["{\"hello\":0}", "{\"hello\":2}", "\"room\"", "{\"out\":7}"];
+        let other_messages = ["{\"hello\":0}", "{\"hello\":3}", "\"room\"", "{\"out\":7}"];
         for line in REFUSED.lines().chain(other_messages) {
             let (mut remote, local) = socket_pair();
             let (engine, mut inputs) = mpsc::channel(8);
@@ -170,11 +183,13 @@
             remote.read_to_end(&mut response).await.expect("the end of the connection");
             assert!(response.is_empty(), "{line:?}: {response:?}");
         }
-        let (mut remote, local) = socket_pair();
-        let (engine, mut inputs) = mpsc::channel(8);
-        remote.write_all(b"{\"hello\":1}\n").await.expect("writable");
-        accept_successor(local, Rc::default(), engine).await;
-        assert!(matches!(inputs.recv().await, Some(Input::SuccessorConnected)));
+        for handshake in [b"{\"hello\":1}\n", b"{\"hello\":2}\n"] {
+            let (mut remote, local) = socket_pair();
+            let (engine, mut inputs) = mpsc::channel(8);
+            remote.write_all(handshake).await.expect("writable");
+            accept_successor(local, Rc::default(), engine).await;
+            assert!(matches!(inputs.recv().await, Some(Input::SuccessorConnected)));
+        }
     };
     LocalSet::new().run_until(test).await;
 }
@@ -193,7 +208,7 @@
                 stream.write_all(format!("{{\"out\":7}}\n{line}\n").as_bytes()).await.expect("writable");
                 let mut handshake = [0; 12];
                 stream.read_exact(&mut handshake).await.expect("a handshake");
-                assert_eq!(&handshake, b"{\"hello\":1}\n");
+                assert_eq!(&handshake, b"{\"hello\":2}\n");
                 stream
             };
             let successor = connect_to_owner(folder.path(), &peer_process, &engine);
@@ -204,3 +219,34 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// An owner of the version before closes a connection whose handshake has the current version.
+#[tokio::test]
+async fn a_successor_connects_to_an_owner_of_the_version_before() {
+    let test = async {
+        for rejected in [false, true] {
+            let folder = tempfile::tempdir().expect("a folder");
+            let listener = UnixListener::bind(folder.path().join("handover")).expect("a socket");
+            let peer_process = Rc::new(PeerProcess::default());
+            let (engine, _inputs) = mpsc::channel(8);
+            let owner = async {
+                let mut handshake = [0; 12];
+                let (mut stream, _) = listener.accept().await.expect("a successor");
+                stream.read_exact(&mut handshake).await.expect("a handshake");
+                if rejected {
+                    drop(stream);
+                    stream = listener.accept().await.expect("a successor").0;
+                    stream.read_exact(&mut handshake).await.expect("a handshake");
+                    assert_eq!(&handshake, b"{\"hello\":1}\n");
+                }
+                stream.write_all(b"\"room\"\n").await.expect("writable");
+                stream
+            };
+            let successor = connect_to_owner(folder.path(), &peer_process, &engine);
+            let (state, _stream) = tokio::join!(successor, owner);
+            assert!(state.is_complete && peer_process.is_connected());
+            assert_eq!(peer_process.owner_answers_claims(), !rejected);
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
--- a/crates/sender/src/handover/message.rs
+++ b/crates/sender/src/handover/message.rs
@@ -4,7 +4,7 @@
 use rudderspindle_journal as journal;
 use serde::{Deserialize, Serialize};
 
-use crate::event::Input;
+use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, IdClaim, Input};
 use crate::outbound::MAX_BACKOFF_MS;
 
 /// A message from one process of a sender to the other.
@@ -47,6 +47,35 @@
     /// [`HandoverMessage::DiskSpace`] was sent.
     #[serde(rename = "room")]
     FreeSpace,
+    /// The successor accepts messages from now on, so the owner must claim the ids of new messages. Only sent in protocol
+    /// version 2, as are claims and their answers.
+    #[serde(rename = "accepting")]
+    AcceptsMessages,
+    /// Claims the id of a new message, see [`IdClaim`].
+    #[serde(rename = "claim")]
+    ClaimId {
+        /// Identifies the claim in its answer.
+        number: ClaimNumber,
+        /// The id of the new message.
+        message_id: String,
+        /// The content of the new message.
+        content: ContentHash,
+    },
+    /// Answers a claim.
+    #[serde(rename = "claimed")]
+    AnswerClaim {
+        /// The claim.
+        number: ClaimNumber,
+        /// The answer.
+        answer: ClaimAnswer,
+    },
+}
+
+impl From<IdClaim> for HandoverMessage {
+    fn from(claim: IdClaim) -> Self {
+        let IdClaim { number, message_id, content } = claim;
+        Self::ClaimId { number, message_id: message_id.to_string(), content }
+    }
 }
 
 impl HandoverMessage {
@@ -58,6 +87,11 @@
             }
             Self::CallsInFlight(calls) => Some(Input::PeerProcessCallsInFlight(calls)),
             Self::DiskSpace(bytes) => Some(Input::PeerProcessDiskSpace(bytes)),
+            Self::AcceptsMessages => Some(Input::SuccessorAcceptsMessages),
+            Self::ClaimId { number, message_id, content } => {
+                Some(Input::PeerProcessClaim(IdClaim { number, message_id: message_id.into(), content }))
+            }
+            Self::AnswerClaim { number, answer } => Some(Input::ClaimAnswered { number, answer }),
             Self::Hello(_) | Self::OutageState { .. } | Self::FreeSpace => None,
         }
     }
--- a/crates/sender/src/handover/owner.rs
+++ b/crates/sender/src/handover/owner.rs
@@ -13,7 +13,8 @@
 use super::connection::Connection;
 use super::message::HandoverMessage;
 use super::peer_process::PeerProcess;
-use super::{HANDOVER_TIMEOUT, SOCKET_NAME, VERSION};
+use super::version::ProtocolVersion;
+use super::{HANDOVER_TIMEOUT, SOCKET_NAME};
 use crate::event::Input;
 
 /// Maximum number of connections whose handshake is not complete; further ones wait until a handshake ends.
@@ -64,7 +65,7 @@
 ) {
     let mut connection = Connection::new(stream);
     match timeout(HANDOVER_TIMEOUT, connection.reader.read()).await {
-        Ok(Ok(Some(HandoverMessage::Hello(VERSION)))) => {}
+        Ok(Ok(Some(HandoverMessage::Hello(version)))) if ProtocolVersion::from_number(version).is_some() => {}
         Ok(Ok(Some(message))) => {
             tracing::warn!(?message, "handover rejected: unexpected first message");
             return;
--- a/crates/sender/src/handover/successor.rs
+++ b/crates/sender/src/handover/successor.rs
@@ -12,7 +12,8 @@
 use super::connection::Connection;
 use super::message::HandoverMessage;
 use super::peer_process::PeerProcess;
-use super::{HANDOVER_TIMEOUT, SOCKET_NAME, VERSION};
+use super::version::ProtocolVersion;
+use super::{HANDOVER_TIMEOUT, SOCKET_NAME};
 use crate::event::Input;
 
 /// The state that a starting process received from the owner.
@@ -34,7 +35,12 @@
 ) -> HandoverState {
     let mut state = HandoverState::default();
     match timeout(HANDOVER_TIMEOUT, request_state(folder, &mut state)).await {
-        Ok(Ok(connection)) => connection.spawn_exchange(peer_process.clone(), engine.clone()),
+        Ok(Ok((connection, version))) => {
+            if version == ProtocolVersion::WithClaims {
+                peer_process.set_owner_answers_claims();
+            }
+            connection.spawn_exchange(peer_process.clone(), engine.clone());
+        }
         Ok(Err(error)) => {
             tracing::warn!(%error, "handover failed; starting without the owner's state");
         }
@@ -45,10 +51,29 @@
     state
 }
 
-/// Sends the handshake, and reads messages into `state` up to the end of the transfer.
-async fn request_state(folder: &Path, state: &mut HandoverState) -> Result<Connection, HandoverError> {
+/// Reads messages into `state` up to the end of the transfer. An owner that rejects the handshake of this program's version
+/// is asked again in the version before.
+async fn request_state(
+    folder: &Path,
+    state: &mut HandoverState,
+) -> Result<(Connection, ProtocolVersion), HandoverError> {
+    match request_state_in(ProtocolVersion::WithClaims, folder, state).await {
+        Err(HandoverError::Incomplete) if state.messages.is_empty() => {
+            let connection = request_state_in(ProtocolVersion::WithoutClaims, folder, state).await?;
+            Ok((connection, ProtocolVersion::WithoutClaims))
+        }
+        result => Ok((result?, ProtocolVersion::WithClaims)),
+    }
+}
+
+/// Sends the handshake of a version, and reads messages into `state` up to the end of the transfer.
+async fn request_state_in(
+    version: ProtocolVersion,
+    folder: &Path,
+    state: &mut HandoverState,
+) -> Result<Connection, HandoverError> {
     let mut connection = Connection::new(UnixStream::connect(folder.join(SOCKET_NAME)).await?);
-    connection.writer.write(&HandoverMessage::Hello(VERSION)).await?;
+    connection.writer.write(&HandoverMessage::Hello(version.number())).await?;
     while let Some(message) = connection.reader.read().await? {
         if message == HandoverMessage::FreeSpace {
             state.is_complete = true;
