--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -19,6 +19,7 @@
 mod endpoints;
 mod id_claims;
 mod intake;
+mod known_messages;
 mod message_content;
 mod outage_records;
 mod recovery;
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -17,6 +17,8 @@
 
 #[cfg(test)]
 mod golden;
+#[cfg(test)]
+mod tests;
 
 use std::time::Duration;
 
