A body that arrives in small pieces takes no more memory than its length

Cause: the pieces of a body were kept as hyper gave them until the body was complete. Each is a part of a read buffer of 8 KiB or more, and after a small read hyper mostly allocates a new one, so a piece of 400 bytes kept a buffer of its own. Fix: pieces are copied into one buffer of the announced length as they arrive.

--- a/crates/sender/src/inbound/requests.rs
+++ b/crates/sender/src/inbound/requests.rs
@@ -101,7 +101,7 @@
         let _reservation = self.reserve_body_bytes(head)?;
         // A deadline always exists here, because the request that is being received is not open before it is complete.
         let deadline = connection.request_deadline().unwrap_or_else(Instant::now);
-        request_body::read(body, deadline).await
+        request_body::read(body, head.body_len, deadline).await
     }
 
     fn reserve_body_bytes(&self, head: &SubmissionHead) -> Result<SemaphorePermit<'_>, RequestRejection> {
