Memory for a body stays reserved until the engine has responded

Cause: the reservation (an eighth of memory_mb) ended with the last byte of the body. The engine accepts at most 128 KiB in a batch, and the other bodies waited there uncounted. Fix: the reservation lasts until the response.

The new test failed on the commit before (the second body was not refused, no response within 20 s) and passes now.

--- a/crates/sender/src/inbound.rs
+++ b/crates/sender/src/inbound.rs
@@ -40,9 +40,9 @@
 pub struct Limits {
     /// Maximum number of open connections.
     pub max_connections: usize,
-    /// Maximum total size of the request bodies that are being received, in bytes; a value below
-    /// [`MAX_BODY`] is raised to it.
-    pub max_unfinished_body_bytes: usize,
+    /// Maximum total size of the bodies of requests without a response, in bytes; a value below [`MAX_BODY`] is raised
+    /// to it.
+    pub max_open_body_bytes: usize,
 }
 
 /// State shared by all client connections.
@@ -59,7 +59,7 @@
     slots: RefCell<ConnectionSlots>,
     /// Origin of the times in `slots`.
     started_at: Instant,
-    /// One permit for each byte that is not reserved for a request body that is being received.
+    /// One permit for each byte that is not reserved for the body of a request without a response.
     free_body_bytes: Arc<Semaphore>,
     metrics: Rc<Metrics>,
     admission_state: watch::Receiver<AdmissionState>,
@@ -86,7 +86,7 @@
             connections: RefCell::default(),
             slots: RefCell::new(ConnectionSlots::new(limits.max_connections)),
             started_at: Instant::now(),
-            free_body_bytes: Arc::new(Semaphore::new(limits.max_unfinished_body_bytes.max(MAX_BODY))),
+            free_body_bytes: Arc::new(Semaphore::new(limits.max_open_body_bytes.max(MAX_BODY))),
             metrics,
             admission_state,
             connection_closed: Notify::new(),
--- a/crates/sender/src/inbound/requests.rs
+++ b/crates/sender/src/inbound/requests.rs
@@ -73,7 +73,10 @@
         connection: &ClientConnection,
     ) -> Result<HttpResponse, RequestRejection> {
         let head = SubmissionHead::parse(&request, &self.settings, &self.names)?;
-        let body = self.receive_body(&head, request.into_body(), connection).await?;
+        // Memory for the body is reserved until the engine has responded, because the body may wait there for several
+        // batches of the journal.
+        let _reservation = self.reserve_body_bytes(&head)?;
+        let body = receive_body(&head, request.into_body(), connection).await?;
         connection.request_started();
         self.slots.borrow_mut().request_started(connection.id, self.now());
         let (response_sender, response_receiver) = oneshot::channel();
@@ -91,19 +94,6 @@
         self.http_response(submission_response)
     }
 
-    /// Reads the body. Memory for the body is reserved while it is being received.
-    async fn receive_body(
-        &self,
-        head: &SubmissionHead,
-        body: Incoming,
-        connection: &ClientConnection,
-    ) -> Result<Bytes, RequestRejection> {
-        let _reservation = self.reserve_body_bytes(head)?;
-        // A deadline always exists here, because the request that is being received is not open before it is complete.
-        let deadline = connection.request_deadline().unwrap_or_else(Instant::now);
-        request_body::read(body, head.body_len, deadline).await
-    }
-
     fn reserve_body_bytes(&self, head: &SubmissionHead) -> Result<SemaphorePermit<'_>, RequestRejection> {
         let reservation = self.free_body_bytes.try_acquire_many(head.body_len);
         reservation.map_err(|_| self.reject_for_capacity(head.class))
@@ -165,3 +155,14 @@
         RequestRejection::Overloaded { retry_after: advise_retry.then_some(retry_after) }
     }
 }
+
+/// Reads the body of the request that is being received on a connection.
+async fn receive_body(
+    head: &SubmissionHead,
+    body: Incoming,
+    connection: &ClientConnection,
+) -> Result<Bytes, RequestRejection> {
+    // A deadline always exists here, because the request that is being received is not open before it is complete.
+    let deadline = connection.request_deadline().unwrap_or_else(Instant::now);
+    request_body::read(body, head.body_len, deadline).await
+}
--- a/crates/sender/src/inbound/tests.rs
+++ b/crates/sender/src/inbound/tests.rs
@@ -1,6 +1,7 @@
 //! Tests client connections over loopback sockets. The test acts as the engine.
 
 mod closing;
+mod open_bodies;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,7 +48,7 @@
         let metrics = Rc::new(Metrics::new(&names.classes));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a loopback port");
         let addr = listener.local_addr().expect("listener address");
-        let limits = Limits { max_connections: MAX_CONNECTIONS, max_unfinished_body_bytes: MAX_BODY };
+        let limits = Limits { max_connections: MAX_CONNECTIONS, max_open_body_bytes: MAX_BODY };
         let inbound = Rc::new(Inbound::new(settings, names, limits, metrics, to_engine, observed_state));
         spawn_local(inbound.clone().run(listener));
         Self { inbound, addr, inputs, admission_state }
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -224,6 +224,6 @@
 fn inbound_limits(config: &Config) -> inbound::Limits {
     inbound::Limits {
         max_connections: config.limits.max_connections(),
-        max_unfinished_body_bytes: config.limits.body_bytes(),
+        max_open_body_bytes: config.limits.body_bytes(),
     }
 }
