--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -143,6 +143,12 @@
         self.entries.reserved_bytes() + bytes <= self.budget.saturating_sub(UNRESERVABLE_SPACE)
     }
 
+    /// Sum of the bytes that all pending entries reserve, see [`Message::reserved_bytes`]. The process holds about as many in
+    /// memory.
+    pub fn reserved_bytes(&self) -> u64 {
+        self.entries.reserved_bytes()
+    }
+
     /// Whether one batch may accept messages that reserve `bytes` in total.
     pub fn fits_batch(bytes: u64) -> bool {
         bytes <= SEGMENT_SIZE
--- a/crates/sender/src/config/limits.rs
+++ b/crates/sender/src/config/limits.rs
@@ -9,6 +9,8 @@
 const MIN_DESCRIPTORS: u32 = RESERVED_DESCRIPTORS as u32 + 2;
 /// Fraction of the memory limit for request bodies that have not been received completely.
 const BODY_MEMORY_FRACTION: f64 = 0.125;
+/// Fraction of the memory limit for accepted messages that are not complete.
+const PENDING_MEMORY_FRACTION: f64 = 0.25;
 /// Minimum memory limit, in MB. A lower configured limit is raised to this value, which also applies if no limit is
 /// configured.
 const MIN_MEMORY_MB: f64 = 8.0;
@@ -52,4 +54,10 @@
         let bytes = self.memory_mb.max(MIN_MEMORY_MB) * 1_000_000.0 * BODY_MEMORY_FRACTION;
         (bytes as usize).min(self.max_connections().saturating_mul(MAX_BODY))
     }
+
+    /// Memory for accepted messages that are not complete, in bytes; `None` if no memory limit is configured.
+    pub(crate) fn pending_bytes(&self) -> Option<u64> {
+        let bytes = self.memory_mb.max(MIN_MEMORY_MB) * 1_000_000.0 * PENDING_MEMORY_FRACTION;
+        (self.memory_mb > 0.0).then_some(bytes as u64)
+    }
 }
--- a/crates/sender/src/config/tests.rs
+++ b/crates/sender/src/config/tests.rs
@@ -70,3 +70,15 @@
         assert_eq!(bytes(1024.0, memory), 1_000_000);
     }
 }
+
+#[test]
+fn memory_for_pending_messages_follows_from_the_memory_limit() {
+    let bytes = |memory: Option<f64>| {
+        let json = json!({"sockets": 1024, "disk_mb": 3, "memory_mb": memory});
+        Limits::read(&Field::new(&json, "limits")).expect("limits").pending_bytes()
+    };
+    assert_eq!(bytes(Some(192.0)), Some(48_000_000));
+    assert_eq!(bytes(Some(7.0)), Some(2_000_000));
+    // Without a memory limit, the journal's disk space alone limits them.
+    assert_eq!((bytes(None), bytes(Some(0.0))), (None, None));
+}
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -69,6 +69,8 @@
     settings: Settings,
     names: Names,
     store: Store,
+    /// See [`EngineDependencies::max_pending_bytes`].
+    max_pending_bytes: Option<u64>,
     io: EngineIo,
     shutdown: Shutdown,
     /// When the last batch started.
@@ -127,8 +129,14 @@
 
     /// Creates an engine without receivers and messages.
     fn build(dependencies: EngineDependencies) -> Result<Self, SettingsError> {
-        let EngineDependencies { policy: options, store, io, shared_listener, collect_activity } =
-            dependencies;
+        let EngineDependencies {
+            policy: options,
+            store,
+            max_pending_bytes,
+            io,
+            shared_listener,
+            collect_activity,
+        } = dependencies;
         let policy = options.build()?;
         let PolicyOptions { settings, names, .. } = options;
         let now = Instant::now();
@@ -144,6 +152,7 @@
             settings,
             names,
             store,
+            max_pending_bytes,
             io,
             shutdown: Shutdown::new(shared_listener),
             last_batch_at: now,
--- a/crates/sender/src/engine/dependencies.rs
+++ b/crates/sender/src/engine/dependencies.rs
@@ -20,6 +20,9 @@
     pub policy: PolicyOptions,
     /// The journal.
     pub store: Store,
+    /// Maximum size of the messages that are accepted and not complete, in bytes; `None` if it is not limited. Recovered
+    /// messages may exceed it.
+    pub max_pending_bytes: Option<u64>,
     /// The connections to the tasks around the engine.
     pub io: EngineIo,
     /// Whether a successor can accept clients from the same listening socket.
--- a/crates/sender/src/engine/intake.rs
+++ b/crates/sender/src/engine/intake.rs
@@ -79,7 +79,7 @@
     fn accept_new(&mut self, submission: Submission, now: Instant, intake: &mut Intake) -> Option<Message> {
         let journal_message = self.journal_message(&submission, now);
         let journal_bytes = intake.journal_bytes + journal_message.reserved_bytes();
-        if !self.has_message_capacity() || !self.store.has_space_for(journal_bytes) {
+        if !self.has_message_capacity() || !self.has_space_for(journal_bytes) {
             self.respond(submission, SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER, intake);
             return None;
         }
@@ -91,6 +91,12 @@
         Some(self.track_new_message(submission, journal_message, now, intake))
     }
 
+    /// Whether `bytes` of messages may be accepted in addition to the pending ones: on the disk and in memory.
+    fn has_space_for(&self, bytes: u64) -> bool {
+        let pending_bytes = self.store.reserved_bytes() + bytes;
+        self.store.has_space_for(bytes) && self.max_pending_bytes.is_none_or(|max| pending_bytes <= max)
+    }
+
     /// Whether one more message may be tracked or claimed.
     pub(super) fn has_message_capacity(&self) -> bool {
         self.tracked_messages.len() + self.id_claims.len() < self.settings.max_pending
--- a/crates/sender/src/engine/tests.rs
+++ b/crates/sender/src/engine/tests.rs
@@ -20,6 +20,7 @@
 mod cancels;
 mod claims;
 mod deadline;
+mod pending_bytes;
 mod resubmission;
 mod reused_id;
 mod shutdown;
@@ -40,6 +41,7 @@
     let dependencies = EngineDependencies {
         policy: PolicyOptions { settings, names, seed: 1, limit_sharing: LimitSharing::Equal },
         store,
+        max_pending_bytes: None,
         io: EngineIo { outbound, notifications: Rc::default(), metrics, peer_process, inputs },
         shared_listener: false,
         collect_activity: false,
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -87,7 +87,7 @@
         let revision = initial_revision(&schedule, fetched_list.as_ref());
         // The engine is built before the first client is accepted, because recovered messages have priority.
         let dependencies =
-            engine_dependencies(&shared, seed, store, inputs, shared_listener, gossip.as_ref());
+            engine_dependencies(&shared, &config, store, inputs, shared_listener, gossip.as_ref());
         let engine = build_engine(dependencies, &mut config, fetched_list.as_ref())?;
         forward_owner_messages(handover.messages, &shared.to_engine).await;
 
@@ -175,7 +175,7 @@
 
 fn engine_dependencies(
     shared: &Shared,
-    seed: u64,
+    config: &Config,
     store: Store,
     inputs: mpsc::Receiver<Input>,
     shared_listener: bool,
@@ -185,10 +185,11 @@
         policy: PolicyOptions {
             settings: shared.settings.clone(),
             names: shared.names.clone(),
-            seed,
+            seed: seed(config),
             limit_sharing: gossip.map_or(LimitSharing::Equal, FleetGossip::limit_sharing),
         },
         store,
+        max_pending_bytes: config.limits.pending_bytes(),
         io: EngineIo {
             outbound: shared.outbound.clone(),
             notifications: shared.notifications.clone(),
