Small messages are accepted while unfinished large bodies take all memory for bodies

What callers saw: clients with small messages got 503 while other clients wrote large bodies slowly.

Cause: every body needs a reservation, and the slow clients held all of it (an eighth of memory_mb). Fix: bodies of 1 KiB or less need none; the limit of connections bounds them.

The new test failed with the threshold set to 0 (503 in place of 202) and passes.

--- a/crates/sender/src/inbound/requests.rs
+++ b/crates/sender/src/inbound/requests.rs
@@ -22,6 +22,8 @@
 use crate::metrics::FinalOutcome;
 
 const READY_PATH: &str = "/-/ready";
+/// Maximum length of a body for which no memory is reserved, in bytes: these bodies take less than their connections.
+const MAX_UNRESERVED_BODY: u32 = 1_024;
 
 impl Inbound {
     /// Responds to a request, and records that its response is ready.
@@ -94,8 +96,11 @@
         self.http_response(submission_response)
     }
 
+    /// Reserves memory for a body. A small body needs none, so that clients with small messages are served while large
+    /// bodies take all the memory.
     fn reserve_body_bytes(&self, head: &SubmissionHead) -> Result<SemaphorePermit<'_>, RequestRejection> {
-        let reservation = self.free_body_bytes.try_acquire_many(head.body_len);
+        let reserved = if head.body_len <= MAX_UNRESERVED_BODY { 0 } else { head.body_len };
+        let reservation = self.free_body_bytes.try_acquire_many(reserved);
         reservation.map_err(|_| self.reject_for_capacity(head.class))
     }
 
--- a/crates/sender/src/inbound/tests/open_bodies.rs
+++ b/crates/sender/src/inbound/tests/open_bodies.rs
@@ -33,3 +33,25 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against clients that are refused for as long as other clients leave large bodies unfinished.
+#[tokio::test]
+async fn a_small_body_is_accepted_while_large_ones_take_all_the_memory() {
+    let test = async {
+        let mut setup = InboundTest::set_up().await;
+        let mut slow = setup.connect().await;
+        let unfinished = submission(MAX_BODY);
+        slow.write_all(&unfinished[..unfinished.len() / 2]).await.expect("write to the connection");
+        wait_until(|| setup.inbound.free_body_bytes.available_permits() == 0).await;
+        for (body_len, expected) in [(1_025, 503), (1_024, 202)] {
+            let mut client = setup.connect().await;
+            client.write_all(&submission(body_len)).await.expect("write to the connection");
+            if expected == 202 {
+                setup.expect_accepted(&mut client).await;
+            } else {
+                assert_eq!(read_status(&mut client).await, expected);
+            }
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
