--- a/crates/sender/src/outbound/connection_acquisition.rs
+++ b/crates/sender/src/outbound/connection_acquisition.rs
@@ -13,7 +13,7 @@
 use super::routes::Target;
 
 /// How long a call waits for an idle connection that may not be used yet; beyond that, a new connection is opened.
-const MAX_WAIT_FOR_IDLE: Duration = Duration::from_millis(25);
+const MAX_WAIT_FOR_IDLE: Duration = Duration::from_millis(50);
 
 /// The connection that a request is sent over.
 #[derive(Debug)]
