A call is not sent to the former address of its receiver

Cause: a call took its receiver's address, waited for a connection, and then checked that the receiver accepts calls, but not that the address was still its own. Fix: the address is compared once the connection is there, and the call starts over if it has changed.

The test of connections to a former address expected the request on such a connection although it changed the address without waiting for the request. It waits for the request now and checks the same: that the connection is not pooled.

--- a/crates/sender/src/outbound/exchange.rs
+++ b/crates/sender/src/outbound/exchange.rs
@@ -68,7 +68,7 @@
 
 impl Outbound {
     /// Sends a request within its deadlines and reads the head of the response. Another connection is tried if a
-    /// pooled one turns out to be closed.
+    /// pooled one turns out to be closed, or if the address of the receiver has changed.
     pub(super) async fn exchange(&self, exchange: &Exchange<'_>) -> ExchangeOutcome {
         loop {
             let Some(target) = self.routes.target(exchange.route) else { return Outcome::NotSent.into() };
@@ -76,6 +76,11 @@
                 Ok(acquired) => acquired,
                 Err(outcome) => return outcome.into(),
             };
+            // Another receiver may have the address by now.
+            if !self.routes.address_matches(exchange.route, Some(target.addr)) {
+                self.return_to_pool(exchange.route, acquired.connection);
+                continue;
+            }
             let Some(prepared) = self.prepare(exchange, target) else {
                 self.return_to_pool(exchange.route, acquired.connection);
                 return Outcome::NotSent.into();
--- a/crates/sender/src/outbound/tests/idle_connections.rs
+++ b/crates/sender/src/outbound/tests/idle_connections.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use rudderspindle_policy::interface::{Listing, Outcome};
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout};
 
 use super::{
-    ROUTE, call, complete_call, next_call_outcome, next_input, respond, route, set_up, take_idle_connection,
+    ROUTE, call, complete_call, next_call_outcome, next_input, read_request, respond, route, set_up,
+    take_idle_connection,
 };
 
 /// The receiver may be about to close a connection that has been idle for nearly its idle timeout.
@@ -56,10 +57,12 @@
         let (outbound, listener, mut inputs) = set_up().await;
         outbound.start_call(call());
         let (mut stream, _) = listener.accept().await.expect("accept a connection");
+        read_request(&mut stream).await;
         let new_listener = TcpListener::bind("127.0.0.1:0").await.expect("bind to a loopback port");
         outbound
             .update_route(ROUTE, route(new_listener.local_addr().expect("listener address"), Listing::Ready));
-        respond(&mut stream, "200 OK").await;
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(response).await.expect("write to the connection");
         next_input(&mut inputs).await;
         let read = timeout(Duration::from_secs(20), stream.read(&mut [0; 8]))
             .await
