A new process receives the endpoint list of the old one

Cause: the new process used the list of its configuration when discovery did not answer within 250 ms; the handover did not carry the newer list of the old process. Fix: the owner sends its list in the state transfer (version 2 of the handover), and the successor uses it if discovery is silent.

--- a/crates/daemon/tests/upgrade.rs
+++ b/crates/daemon/tests/upgrade.rs
@@ -8,7 +8,9 @@
 use common::fixture::Site;
 use common::program::Program;
 use common::{DEADLINE_MS, body, inherited_listener, next_notifications};
-use rudderspindle_testkit::scripted_peers::{Notification, ScriptedResponse, raw_submission, read_status};
+use rudderspindle_testkit::scripted_peers::{
+    Notification, Receiver, ScriptedResponse, list, member, raw_submission, read_status,
+};
 use tokio::io::AsyncWriteExt;
 
 /// What both processes of a sender share.
@@ -89,6 +91,29 @@
     assert!(shared.site.receiver.has_no_calls());
 }
 
+/// Guards against a message that is sent to a receiver that is gone, whose address another one may have: the new process used
+/// the list of its configuration while discovery was silent.
+#[tokio::test]
+async fn a_new_process_has_the_endpoint_list_of_the_old_one_while_discovery_is_silent() {
+    let mut shared = SharedListener::new(&[]).await;
+    let mut second = Receiver::start(&[]).await;
+    // The configuration lists r1 only.
+    let replaced = [member("r2", second.addr, 7, "SERVING")];
+    shared.site.platform.set_list(list(8, true, &replaced));
+    let mut old = shared.start().await;
+    assert_eq!(old.submit("safe", "m1", body()).await.status(), 202);
+    assert_eq!(second.next_call().await.message_id, "m1");
+    // Connections to this address are neither accepted nor rejected.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("bind to a loopback port");
+    shared.site.config["discovery"] = silent.local_addr().expect("an address").to_string().into();
+    let new = shared.start().await;
+    old.terminate().await;
+    assert!(old.exit().await.success());
+    assert_eq!(new.submit("safe", "m2", body()).await.status(), 202);
+    assert_eq!(second.next_call().await.message_id, "m2");
+    assert!(shared.site.receiver.has_no_calls());
+}
+
 /// The old process is killed while both serve; the new one gets no announcement of that.
 #[tokio::test]
 async fn a_kill_of_the_old_process_passes_its_pending_messages_to_the_new_one() {
--- a/crates/sender/src/engine.rs
+++ b/crates/sender/src/engine.rs
@@ -20,6 +20,7 @@
 mod id_claims;
 mod intake;
 mod known_messages;
+mod listed_endpoints;
 mod message_content;
 mod outage_records;
 mod recovery;
@@ -47,6 +48,7 @@
 pub use dependencies::{EngineDependencies, EngineIo, LimitSharing, PolicyOptions};
 use endpoint_table::EndpointTable;
 use id_claims::IdClaims;
+use listed_endpoints::ListedEndpoints;
 pub use outage_records::restore_outages;
 use shutdown::{RemainingWork, Shutdown};
 use time::from_millis;
@@ -92,6 +94,8 @@
     /// Recovered messages that wait for capacity in the policy.
     backlog: Backlog,
     endpoints: EndpointTable,
+    /// The current endpoint list, for a successor.
+    listed_endpoints: ListedEndpoints,
     calls: CallsInFlight,
     activity: ActivityLog,
 }
@@ -114,6 +118,7 @@
         // The fetched list is applied before messages are recovered, because the configured list may be outdated:
         // a recovered message must not be sent to a receiver that is draining by now.
         if let Some(list) = fetched_list {
+            engine.listed_endpoints.record_received();
             let entries = engine.apply_entries(list);
             engine.next_batch_events.push(Event::List(ListChange::Full(entries)));
         }
@@ -143,12 +148,13 @@
         // Clients may submit a message again until its deadline.
         let max_deadline = settings.classes.iter().map(|class| class.deadline).fold(0.0, Millis::max);
         let max_deadline = from_millis(max_deadline);
-        let id_claims = IdClaims::new(!store.is_owner() && io.peer_process.owner_answers_claims());
+        let id_claims = IdClaims::new(!store.is_owner() && io.peer_process.answers_claims());
         Ok(Self {
             policy,
             policy_epoch: now,
             timers: Timers::default(),
             endpoints: EndpointTable::new(names.zones.clone()),
+            listed_endpoints: ListedEndpoints::default(),
             settings,
             names,
             store,
--- a/crates/sender/src/engine/endpoints.rs
+++ b/crates/sender/src/engine/endpoints.rs
@@ -12,6 +12,7 @@
 impl Engine {
     /// Applies an endpoint list from discovery, and returns the change for the policy.
     pub(super) fn apply_list(&mut self, list: &EndpointList) -> ListChange {
+        self.listed_endpoints.record_received();
         let entries = self.apply_entries(list);
         if list.complete { ListChange::Full(entries) } else { ListChange::Delta(entries) }
     }
@@ -20,6 +21,7 @@
     /// removed. Returns the entries for the policy.
     pub(super) fn apply_entries(&mut self, list: &EndpointList) -> Vec<RouteEntry> {
         let now = Instant::now();
+        self.listed_endpoints.apply(list);
         let entries: Vec<RouteEntry> =
             list.members.iter().map(|endpoint| self.apply_endpoint(endpoint, now)).collect();
         if list.complete {
@@ -34,11 +36,7 @@
     /// Applies one entry to the endpoint table and the outbound routes; returns the entry for the policy.
     fn apply_endpoint(&mut self, endpoint: &Endpoint, now: Instant) -> RouteEntry {
         let kind_index = self.kind_index(endpoint);
-        let listing = match endpoint.phase.as_str() {
-            "SERVING" => Listing::Ready,
-            "DELETED" => Listing::Removed,
-            _ => Listing::Draining,
-        };
+        let listing = listing(endpoint);
         let entry = RouteEntry {
             route: self.endpoints.find_or_add_route(&endpoint.id, now),
             destination: DestinationId(endpoint.destination),
@@ -66,3 +64,12 @@
         known_index.unwrap_or(self.settings.kinds.len().saturating_sub(1))
     }
 }
+
+/// Whether a receiver accepts calls, by its lifecycle phase.
+pub(super) fn listing(endpoint: &Endpoint) -> Listing {
+    match endpoint.phase.as_str() {
+        "SERVING" => Listing::Ready,
+        "DELETED" => Listing::Removed,
+        _ => Listing::Draining,
+    }
+}
--- a/crates/sender/src/engine/takeover.rs
+++ b/crates/sender/src/engine/takeover.rs
@@ -27,12 +27,24 @@
             self.io.peer_process.send(message);
         }
         self.announce_calls();
+        self.send_endpoint_list();
         if !self.store.leaves_half_to_successor() {
             self.announce_disk_space();
         }
         self.io.peer_process.send(HandoverMessage::FreeSpace);
     }
 
+    /// Sends the endpoint list to a successor, because discovery may not respond to it.
+    fn send_endpoint_list(&self) {
+        if !self.io.peer_process.reads_endpoint_list() {
+            return;
+        }
+        let list = self.listed_endpoints.received_list();
+        for message in list.iter().flat_map(HandoverMessage::endpoint_list) {
+            self.io.peer_process.send(message);
+        }
+    }
+
     /// Leaves more of the disk budget to the successor once fewer messages are pending here.
     pub(super) fn release_disk_space(&mut self) {
         if self.store.can_leave_more_to_successor() {
--- a/crates/sender/src/event/endpoints.rs
+++ b/crates/sender/src/event/endpoints.rs
@@ -1,6 +1,6 @@
 //! The endpoint list, decoded from the JSON of discovery.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// A complete endpoint list, or the entries that have changed since an earlier revision.
 #[derive(Clone, Debug, Deserialize)]
@@ -14,7 +14,7 @@
 }
 
 /// A receiver in an endpoint list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Endpoint {
     /// The receiver's id.
     pub id: String,
--- a/crates/sender/src/handover/golden.rs
+++ b/crates/sender/src/handover/golden.rs
@@ -14,7 +14,7 @@
 use super::owner::accept_successor;
 use super::peer_process::PeerProcess;
 use super::successor::connect_to_owner;
-use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, Input};
+use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, Endpoint, Input};
 
 const WRITTEN: &str = include_str!("../../tests/golden/handover.written.txt");
 const ACCEPTED: &str = include_str!("../../tests/golden/handover.accepted.json");
@@ -41,6 +41,15 @@
         receiver: receiver.map(str::to_owned),
         ms,
     };
+    let endpoint = Endpoint {
+        id: "r1".to_owned(),
+        host_port: "10.1.0.18:9000".to_owned(),
+        zone: "a".to_owned(),
+        kind: "m2".to_owned(),
+        destination: 3,
+        phase: "DRAINING".to_owned(),
+        rate: 1.5,
+    };
     let claim = |message_id: &str, high| HandoverMessage::ClaimId {
         number: ClaimNumber(5),
         message_id: message_id.to_owned(),
@@ -63,6 +72,7 @@
         HandoverMessage::DiskSpace(0),
         HandoverMessage::DiskSpace(1_500_000),
         HandoverMessage::FreeSpace,
+        HandoverMessage::Endpoints { revision: 41, members: vec![endpoint] },
         HandoverMessage::AcceptsMessages,
         claim("m1", 0),
         claim("a \"b\"", u64::MAX),
--- a/crates/sender/src/handover/message.rs
+++ b/crates/sender/src/handover/message.rs
@@ -4,9 +4,13 @@
 use rudderspindle_journal as journal;
 use serde::{Deserialize, Serialize};
 
-use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, IdClaim, Input};
+use crate::event::{ClaimAnswer, ClaimNumber, ContentHash, Endpoint, EndpointList, IdClaim, Input};
 use crate::outbound::MAX_BACKOFF_MS;
 
+/// Maximum encoded length of the receivers in one [`HandoverMessage::Endpoints`], in bytes: less than the maximum length of a
+/// message.
+const MAX_ENDPOINTS_LEN: usize = 1_900;
+
 /// A message from one process of a sender to the other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -47,8 +51,15 @@
     /// [`HandoverMessage::DiskSpace`] was sent.
     #[serde(rename = "room")]
     FreeSpace,
-    /// The successor accepts messages from now on, so the owner must claim the ids of new messages. Only sent in protocol
-    /// version 2, as are claims and their answers.
+    /// A part of the owner's endpoint list, of which all parts are sent before the end of the state transfer. Only sent in
+    /// protocol version 2, as are the following messages.
+    Endpoints {
+        /// The revision of the list.
+        revision: u64,
+        /// The receivers of this part.
+        members: Vec<Endpoint>,
+    },
+    /// The successor accepts messages from now on, so the owner must claim the ids of new messages.
     #[serde(rename = "accepting")]
     AcceptsMessages,
     /// Claims the id of a new message, see [`IdClaim`].
@@ -79,6 +90,28 @@
 }
 
 impl HandoverMessage {
+    /// The messages that transfer an endpoint list; none if an entry is too long for a message.
+    pub fn endpoint_list(list: &EndpointList) -> Vec<Self> {
+        let revision = list.revision;
+        let mut parts = Vec::new();
+        let mut members = Vec::new();
+        let mut part_len = 0;
+        for endpoint in &list.members {
+            let endpoint_len = serde_json::to_vec(endpoint).map_or(usize::MAX, |json| json.len());
+            if endpoint_len > MAX_ENDPOINTS_LEN {
+                return Vec::new();
+            }
+            if part_len + endpoint_len > MAX_ENDPOINTS_LEN {
+                parts.push(Self::Endpoints { revision, members: std::mem::take(&mut members) });
+                part_len = 0;
+            }
+            part_len += endpoint_len + 1;
+            members.push(endpoint.clone());
+        }
+        parts.push(Self::Endpoints { revision, members });
+        parts
+    }
+
     /// The engine input for this message; `None` for a message of the handshake or of the state transfer.
     pub fn into_input(self) -> Option<Input> {
         match self {
@@ -92,7 +125,7 @@
                 Some(Input::PeerProcessClaim(IdClaim { number, message_id: message_id.into(), content }))
             }
             Self::AnswerClaim { number, answer } => Some(Input::ClaimAnswered { number, answer }),
-            Self::Hello(_) | Self::OutageState { .. } | Self::FreeSpace => None,
+            Self::Hello(_) | Self::OutageState { .. } | Self::Endpoints { .. } | Self::FreeSpace => None,
         }
     }
 }
--- a/crates/sender/src/handover/owner.rs
+++ b/crates/sender/src/handover/owner.rs
@@ -64,21 +64,28 @@
     engine: mpsc::Sender<Input>,
 ) {
     let mut connection = Connection::new(stream);
-    match timeout(HANDOVER_TIMEOUT, connection.reader.read()).await {
-        Ok(Ok(Some(HandoverMessage::Hello(version)))) if ProtocolVersion::from_number(version).is_some() => {}
-        Ok(Ok(Some(message))) => {
-            tracing::warn!(?message, "handover rejected: unexpected first message");
-            return;
-        }
-        _ => {
-            tracing::warn!("handover rejected: no valid handshake");
-            return;
-        }
-    }
+    let Some(version) = read_handshake(&mut connection).await else { return };
     if timeout(HANDOVER_TIMEOUT, peer_process.disconnected()).await.is_err() {
         tracing::warn!("handover rejected: another successor is connected");
         return;
     }
+    peer_process.set_version(version);
     connection.spawn_exchange(peer_process, engine.clone());
     let _ = engine.send(Input::SuccessorConnected).await;
 }
+
+/// Reads the handshake of a successor, and returns its version; `None` if the connection is rejected.
+async fn read_handshake(connection: &mut Connection) -> Option<ProtocolVersion> {
+    let Ok(Ok(Some(message))) = timeout(HANDOVER_TIMEOUT, connection.reader.read()).await else {
+        tracing::warn!("handover rejected: no valid handshake");
+        return None;
+    };
+    let version = match message {
+        HandoverMessage::Hello(number) => ProtocolVersion::from_number(number),
+        _ => None,
+    };
+    if version.is_none() {
+        tracing::warn!(?message, "handover rejected: unexpected first message");
+    }
+    version
+}
--- a/crates/sender/src/handover/peer_process.rs
+++ b/crates/sender/src/handover/peer_process.rs
@@ -5,14 +5,15 @@
 use tokio::sync::mpsc;
 
 use super::message::HandoverMessage;
+use super::version::ProtocolVersion;
 
 /// The connection to the other process of this sender. Messages are dropped while no process is connected.
 #[derive(Debug, Default)]
 pub struct PeerProcess {
     /// The queue of the connected process; `None` while no process is connected.
     outgoing: RefCell<Option<mpsc::Sender<HandoverMessage>>>,
-    /// Whether this process is a successor whose owner answers claims.
-    owner_answers_claims: Cell<bool>,
+    /// The version of the protocol with the process that was connected last.
+    version: Cell<ProtocolVersion>,
 }
 
 impl PeerProcess {
@@ -21,15 +22,19 @@
         self.outgoing.borrow().as_ref().is_some_and(|outgoing| !outgoing.is_closed())
     }
 
-    /// Whether this process is a successor and claims the ids of new messages from its owner, also after the owner has been
-    /// disconnected.
-    pub fn owner_answers_claims(&self) -> bool {
-        self.owner_answers_claims.get()
+    /// Whether the process that was connected last answers claims of message ids.
+    pub fn answers_claims(&self) -> bool {
+        self.version.get() == ProtocolVersion::V2
     }
 
-    /// Records that the owner answers claims.
-    pub(super) fn set_owner_answers_claims(&self) {
-        self.owner_answers_claims.set(true);
+    /// Whether the connected process reads an endpoint list.
+    pub fn reads_endpoint_list(&self) -> bool {
+        self.version.get() == ProtocolVersion::V2
+    }
+
+    /// Sets the version of the protocol with the process that is about to be connected.
+    pub(super) fn set_version(&self, version: ProtocolVersion) {
+        self.version.set(version);
     }
 
     /// Queues a message for the other process. The message is dropped if no process is connected or the queue is full.
--- a/crates/sender/src/handover/successor.rs
+++ b/crates/sender/src/handover/successor.rs
@@ -14,18 +14,31 @@
 use super::peer_process::PeerProcess;
 use super::version::ProtocolVersion;
 use super::{HANDOVER_TIMEOUT, SOCKET_NAME};
-use crate::event::Input;
+use crate::event::{EndpointList, Input};
 
 /// The state that a starting process received from the owner.
 #[derive(Debug, Default)]
 pub struct HandoverState {
-    /// Outages, backoffs and calls in flight, in the order in which the owner sent them.
+    /// Outages, backoffs, calls in flight and the endpoint list, in the order in which the owner sent them.
     pub messages: Vec<HandoverMessage>,
     /// Whether the end of the transfer was received. If so, the owner leaves a part of the journal's disk budget to this
     /// process: half, or as much as the last [`HandoverMessage::DiskSpace`] says.
     pub is_complete: bool,
 }
 
+impl HandoverState {
+    /// The owner's endpoint list; `None` if it was not received completely, or the owner has received none from discovery.
+    pub fn endpoint_list(&self) -> Option<EndpointList> {
+        let mut list: Option<EndpointList> = None;
+        for message in self.messages.iter().filter(|_| self.is_complete) {
+            let HandoverMessage::Endpoints { revision, members } = message else { continue };
+            let empty = EndpointList { revision: *revision, complete: true, members: Vec::new() };
+            list.get_or_insert(empty).members.extend_from_slice(members);
+        }
+        list
+    }
+}
+
 /// Requests the state of the process that owns the folder, and stays connected to that process. If the transfer fails
 /// or takes longer than [`HANDOVER_TIMEOUT`], returns the messages received by then.
 pub async fn connect_to_owner(
@@ -36,9 +49,7 @@
     let mut state = HandoverState::default();
     match timeout(HANDOVER_TIMEOUT, request_state(folder, &mut state)).await {
         Ok(Ok((connection, version))) => {
-            if version == ProtocolVersion::WithClaims {
-                peer_process.set_owner_answers_claims();
-            }
+            peer_process.set_version(version);
             connection.spawn_exchange(peer_process.clone(), engine.clone());
         }
         Ok(Err(error)) => {
@@ -57,12 +68,12 @@
     folder: &Path,
     state: &mut HandoverState,
 ) -> Result<(Connection, ProtocolVersion), HandoverError> {
-    match request_state_in(ProtocolVersion::WithClaims, folder, state).await {
+    match request_state_in(ProtocolVersion::V2, folder, state).await {
         Err(HandoverError::Incomplete) if state.messages.is_empty() => {
-            let connection = request_state_in(ProtocolVersion::WithoutClaims, folder, state).await?;
-            Ok((connection, ProtocolVersion::WithoutClaims))
+            let connection = request_state_in(ProtocolVersion::V1, folder, state).await?;
+            Ok((connection, ProtocolVersion::V1))
         }
-        result => Ok((result?, ProtocolVersion::WithClaims)),
+        result => Ok((result?, ProtocolVersion::V2)),
     }
 }
 
--- a/crates/sender/src/service.rs
+++ b/crates/sender/src/service.rs
@@ -83,7 +83,8 @@
 
         let seed = seed(&config);
         let schedule = PollSchedule::new(shared.settings.discovery, shared.settings.peers_total, seed);
-        let fetched_list = fetch_list(&config, &schedule).await;
+        // The owner's list is newer than the configured one, and is used if discovery does not respond.
+        let fetched_list = fetch_list(&config, &schedule).await.or_else(|| handover.endpoint_list());
         let revision = initial_revision(&schedule, fetched_list.as_ref());
         // The engine is built before the first client is accepted, because recovered messages have priority.
         let dependencies =
