--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -2,6 +2,7 @@
 //! commit writes.
 
 mod compaction;
+mod space;
 mod takeover;
 
 use std::collections::VecDeque;
@@ -24,8 +25,6 @@
 /// Part of the disk budget that compaction keeps free, in bytes: space for one batch, and for the entries of one segment that
 /// is compacted.
 const COMPACTION_FREE_SPACE: u64 = 5 * SEGMENT_SIZE;
-/// Part of the disk budget that pending entries cannot reserve, in bytes, so that compaction can always free space.
-const UNRESERVABLE_SPACE: u64 = 8 * SEGMENT_SIZE;
 /// Difference between a successor's first segment number and the owner's latest one, because the owner may still start
 /// segments.
 const SUCCESSOR_NUMBER_OFFSET: u64 = 1_000_000;
@@ -138,22 +137,6 @@
         self.entries.contains(message_id)
     }
 
-    /// Whether `bytes` can be reserved in addition to the space of all pending entries, see [`Message::reserved_bytes`].
-    pub fn has_space_for(&self, bytes: u64) -> bool {
-        self.entries.reserved_bytes() + bytes <= self.budget.saturating_sub(UNRESERVABLE_SPACE)
-    }
-
-    /// Sum of the bytes that all pending entries reserve, see [`Message::reserved_bytes`]. The process holds about as many in
-    /// memory.
-    pub fn reserved_bytes(&self) -> u64 {
-        self.entries.reserved_bytes()
-    }
-
-    /// Whether one batch may accept messages that reserve `bytes` in total.
-    pub fn fits_batch(bytes: u64) -> bool {
-        bytes <= SEGMENT_SIZE
-    }
-
     /// Accepts a message. The response to its client may be sent only after the commit.
     pub fn accept(&mut self, message: Message) {
         append_accepted(&mut self.provisional_records, &message);
--- a/crates/journal/src/store/takeover.rs
+++ b/crates/journal/src/store/takeover.rs
@@ -5,7 +5,8 @@
 use crate::segments::{SEGMENT_SIZE, segment_numbers};
 use crate::{JournalError, MessageId};
 
-use super::{COMPACTION_FREE_SPACE, Store, UNRESERVABLE_SPACE};
+use super::space::UNRESERVABLE_SPACE;
+use super::{COMPACTION_FREE_SPACE, Store};
 
 impl Store {
     /// Whether this process is the owner of the folder; otherwise it is the owner's successor.
--- a/crates/sender/src/engine/claims.rs
+++ b/crates/sender/src/engine/claims.rs
@@ -67,7 +67,10 @@
     ) -> Option<Message> {
         let submission = self.id_claims.remove(number)?;
         let response = match answer {
-            ClaimAnswer::Granted => return self.admit_claimed(submission, now, intake),
+            ClaimAnswer::Granted => {
+                let submission = self.answer_known(submission, intake)?;
+                return self.accept_new(submission, now, intake);
+            }
             ClaimAnswer::Refused => SubmissionResponse::REFUSED_WITHOUT_RETRY_AFTER,
             ClaimAnswer::Delivered => SubmissionResponse::Accepted,
             ClaimAnswer::PossiblyExecuted => SubmissionResponse::Failed,
--- a/crates/sender/src/engine/intake.rs
+++ b/crates/sender/src/engine/intake.rs
@@ -64,19 +64,13 @@
         self.accept_new(submission, now, intake)
     }
 
-    /// Like [`Engine::admit`] for a submission whose id the peer process has granted.
-    pub(super) fn admit_claimed(
+    /// Adds the submission of a new message to `intake`, and returns its message, unless there is no capacity for it.
+    pub(super) fn accept_new(
         &mut self,
         submission: Submission,
         now: Instant,
         intake: &mut Intake,
     ) -> Option<Message> {
-        let submission = self.answer_known(submission, intake)?;
-        self.accept_new(submission, now, intake)
-    }
-
-    /// Adds the submission of a new message to `intake`, and returns its message, unless there is no capacity for it.
-    fn accept_new(&mut self, submission: Submission, now: Instant, intake: &mut Intake) -> Option<Message> {
         let journal_message = self.journal_message(&submission, now);
         let journal_bytes = intake.journal_bytes + journal_message.reserved_bytes();
         if !self.has_message_capacity() || !self.has_space_for(journal_bytes) {
